Carry calls end to end as separate processes

Cause: nothing stood yet.

Ruled out: one handle option per request against libcurl's silent resend.

--- /dev/null
+++ b/trefoilstand/assembly.py
@@ -0,0 +1,286 @@
+"""Build the components of one daemon and connect them."""
+
+import hashlib
+import random
+import secrets
+import time
+
+from trefoilstand import core
+from trefoilstand.callers import addresses
+from trefoilstand.callers import application as caller_application
+from trefoilstand.callers import dispatch
+from trefoilstand.callers import once
+from trefoilstand.callers import operations
+from trefoilstand.callers import server
+from trefoilstand.callers import tickets as signed_tickets
+from trefoilstand.configuration import coordinator
+from trefoilstand.configuration import models as configuration_models
+from trefoilstand.decision import engine
+from trefoilstand.decision import selection
+from trefoilstand.decision import tickets
+from trefoilstand.helpers import worker
+from trefoilstand.measuring import budget
+from trefoilstand.measuring import prober
+from trefoilstand.peers import const as peers_const
+from trefoilstand.peers import gossip
+from trefoilstand.peers import membership
+from trefoilstand.peers import models as peers_models
+from trefoilstand.peers import reports
+from trefoilstand.peers import runtime
+from trefoilstand.platform import client as platform_client
+from trefoilstand.platform import models as platform_models
+from trefoilstand.platform import watcher
+from trefoilstand.settings import models as settings_models
+from trefoilstand.targets import exchange
+from trefoilstand.telemetry import burn
+from trefoilstand.telemetry import metrics
+from trefoilstand.util import clock as clocks
+
+
+class WorkerComponent(core.Component):
+    """Tie a background worker to the life cycle.
+
+    :param background: the worker.
+    """
+
+    def __init__(self, *, background: worker.Worker) -> None:
+        self._background = background
+
+    def start(self) -> None:
+        """Begin the work."""
+        self._background.start()
+
+    def stop(self) -> None:
+        """Ask the work to end."""
+        self._background.stop()
+
+
+class Daemon:
+    """Hold the components of one entry host.
+
+    :param settings: checked settings of the process.
+    """
+
+    def __init__(self, *, settings: settings_models.Settings) -> None:
+        self._settings = settings
+        self.clock = clocks.MonotonicClock()
+        self.random_source = random.Random(secrets.randbits(64))
+        self.metrics = metrics.Metrics()
+        self.application = core.TrefoilStand(
+            clock=self.clock,
+            random_source=self.random_source,
+            process_metrics=self.metrics,
+            tick_interval_s=settings.tick_interval_s,
+            leave_s=settings.answer_lifetime_s,
+        )
+        self.configurations = coordinator.ConfigurationCoordinator()
+        self.decisions = engine.DecisionEngine(
+            policy=selection.LeastExpectedWaitPolicy(
+                random_source=self.random_source
+            ),
+            random_source=self.random_source,
+        )
+        self.members = membership.MemberTable(
+            own=_describe_own(settings),
+            random_source=self.random_source,
+            clock=self.clock,
+        )
+        self.ledger = budget.ProbeLedger()
+        self.board = reports.ReportBoard()
+        self.ticket_table = tickets.TicketTable(
+            lifetime_s=settings.ticket_lifetime_s
+        )
+        self._build_peers()
+        self._build_callers()
+        self._build_workers()
+        self._connect()
+
+    def _build_peers(self) -> None:
+        self.peers = runtime.PeerRuntime(
+            application=self.application,
+            members=self.members,
+            exchange=gossip.GossipExchange(
+                members=self.members,
+                configurations=self.configurations,
+                decisions=self.decisions,
+                board=self.board,
+                clock=self.clock,
+            ),
+            configurations=self.configurations,
+            on_call=lambda call: self.callers.run_forwarded(call),
+            heartbeat_interval_s=self._settings.heartbeat_interval_s,
+        )
+
+    def _build_callers(self) -> None:
+        dispatcher = dispatch.CallDispatcher(
+            decisions=self.decisions,
+            configurations=self.configurations,
+            client=exchange.TargetClient(clock=self.clock),
+            clock=self.clock,
+            process_metrics=self.metrics,
+        )
+        ticketed = once.TicketedCalls(
+            own_process_id=self.members.own.process_id,
+            own_peer_address=self.members.own.peer_address,
+            table=self.ticket_table,
+            signer=signed_tickets.TicketSigner(
+                secrets=self._settings.ticket_secrets
+            ),
+            dispatcher=dispatcher,
+            forwarder=self.peers,
+            clock=self.clock,
+        )
+        burn_counter = burn.BurnCounter()
+        self.callers = caller_application.CallerApplication(
+            application=self.application,
+            dispatcher=dispatcher,
+            ticketed=ticketed,
+            pages=operations.OperationPages(
+                application=self.application,
+                address_book=addresses.AddressBook(
+                    members=self.members, random_source=self.random_source
+                ),
+                ticketed=ticketed,
+                configurations=self.configurations,
+                decisions=self.decisions,
+                members=self.members,
+                burn_counter=burn_counter,
+                answer_lifetime_s=self._settings.answer_lifetime_s,
+                ticket_lifetime_s=self._settings.ticket_lifetime_s,
+            ),
+            burn_counter=burn_counter,
+            random_source=self.random_source,
+        )
+
+    def _build_workers(self) -> None:
+        self._workers: list[worker.Worker] = [
+            watcher.HostsWatcher(
+                platform=self._make_platform_client(),
+                random_source=self.random_source,
+                listener=self._take_hosts,
+            ),
+            watcher.ConfigurationWatcher(
+                platform=self._make_platform_client(),
+                target=self.configurations,
+                random_source=self.random_source,
+                should_read=self._should_read,
+                watch_wait_s=self._settings.watch_wait_s,
+            ),
+            prober.Prober(
+                decisions=self.decisions,
+                ledger=self.ledger,
+                clock=self.clock,
+                process_metrics=self.metrics,
+                listener=self.board.add,
+                is_serving=self.application.is_serving,
+            ),
+        ]
+
+    def _connect(self) -> None:
+        self.configurations.add_listener(self._take_configuration)
+        for listener in (
+            self.decisions.tick,
+            self.ticket_table.tick,
+            self.members.tick,
+            self._tick_metrics,
+        ):
+            self.application.add_tick_listener(listener)
+        for background in self._workers:
+            self.application.add_component(
+                WorkerComponent(background=background)
+            )
+        self.application.add_component(self.peers)
+        self.application.add_component(
+            server.CallerServer(
+                address=self._settings.caller_address,
+                wsgi_application=self.callers,
+                threads=self._settings.caller_threads,
+                read_timeout_s=self._settings.read_timeout_s,
+            )
+        )
+
+    def _make_platform_client(self) -> platform_client.PlatformClient:
+        return platform_client.PlatformClient(
+            address=self._settings.platform_address,
+            process_metrics=self.metrics,
+        )
+
+    def _take_configuration(
+        self, loaded: configuration_models.VersionedConfiguration
+    ) -> None:
+        self.decisions.load(loaded.content)
+        self.ledger.set_share(
+            budget.compute_share(
+                loaded.content.measuring, len(self.members.live()) + 1
+            )
+        )
+        self.peers.announce()
+
+    def _take_hosts(self, listed: platform_models.HostList) -> None:
+        self.members.set_seeds(
+            frozenset(
+                host.address
+                for host in listed.hosts
+                if host.role is platform_models.HostRole.ENTRY
+            )
+        )
+        self.decisions.replace_listed_leaving(
+            frozenset(
+                host.address
+                for host in listed.hosts
+                if host.role is platform_models.HostRole.TARGET
+                and host.state is platform_models.HostState.LEAVING
+            )
+        )
+
+    def _should_read(self) -> bool:
+        """Return whether this host reads the configuration service.
+
+        A few hosts of each failure domain do; the others hear of changes
+        from them, and read for themselves while no peer answers.
+        """
+        if not self.configurations.version:
+            return True
+        if self.members.silence_s() > peers_const.CONFIGURATION_FALLBACK_S:
+            return True
+        own = self.members.own
+        domain = [own.peer_address] + [
+            member.peer_address
+            for member in self.members.live()
+            if member.failure_domain == own.failure_domain
+            and member.state is peers_models.MemberState.ALIVE
+        ]
+        ranked = sorted(domain, key=_rank)
+        readers = ranked[: peers_const.READERS_PER_FAILURE_DOMAIN]
+        return own.peer_address in readers
+
+    def _tick_metrics(self, _now_s: float) -> None:
+        self.metrics.set_gauge(
+            "trefoilstand_configuration_version",
+            "Version of the configuration in force.",
+            self.configurations.version,
+        )
+        self.metrics.set_gauge(
+            "trefoilstand_live_members",
+            "Entry hosts believed to be live, this one included.",
+            len(self.members.live()) + 1,
+        )
+        self.metrics.set_gauge(
+            "trefoilstand_outstanding_tickets",
+            "Tickets that this process remembers.",
+            len(self.ticket_table),
+        )
+
+
+def _describe_own(settings: settings_models.Settings) -> peers_models.Member:
+    return peers_models.Member(
+        peer_address=settings.peer_address,
+        caller_address=settings.caller_address,
+        failure_domain=settings.failure_domain,
+        process_id=secrets.token_hex(8),
+        incarnation=time.time_ns() // 1_000_000,
+    )
+
+
+def _rank(address: str) -> bytes:
+    return hashlib.sha256(address.encode()).digest()
--- /dev/null
+++ b/trefoilstand/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tool for operators."""
--- /dev/null
+++ b/trefoilstand/client/__init__.py
@@ -0,0 +1,1 @@
+"""Client module for callers written in Python."""
--- /dev/null
+++ b/trefoilstand/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' text: schema, checks and differences."""
--- /dev/null
+++ b/trefoilstand/decision/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about calls, made without I/O."""
--- /dev/null
+++ b/trefoilstand/decision/const.py
@@ -0,0 +1,19 @@
+"""Tuning constants of the decisions."""
+
+import typing
+
+EJECTION_BASE_S: typing.Final = 1.0
+EJECTION_FAILURES: typing.Final = 3
+EJECTION_MAX_S: typing.Final = 30.0
+LATENCY_SMOOTHING: typing.Final = 0.2
+MAX_ATTEMPTS: typing.Final = 3
+MAX_EJECTED_RATIO: typing.Final = 0.5
+MAX_LEAVING_RECORDS: typing.Final = 50_000
+LEAVING_RECORD_LIFETIME_S: typing.Final = 3600.0
+MAX_TICKET_RECORDS: typing.Final = 100_000
+MAX_STORED_ANSWER_BYTES: typing.Final = 32 * 1024 * 1024
+OVERDUE_LATENCY_FACTOR: typing.Final = 3.0
+REPORT_DECAY_S: typing.Final = 0.05
+RETRY_BUDGET_BURST: typing.Final = 10.0
+TICKET_ID_BYTES: typing.Final = 16
+TYPICAL_LATENCY_MS: typing.Final = 10.0
--- /dev/null
+++ b/trefoilstand/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several packages share."""
--- /dev/null
+++ b/trefoilstand/measuring/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring of targets within a budget."""
--- /dev/null
+++ b/trefoilstand/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, configuration spread and calls between entry hosts."""
--- /dev/null
+++ b/trefoilstand/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The edge towards the platform's services, which are only read."""
--- /dev/null
+++ b/trefoilstand/platform/const.py
@@ -0,0 +1,17 @@
+"""Paths and limits of the platform's services."""
+
+import typing
+
+CONFIGURATION_PATH: typing.Final = "/v1/values/trefoilstand"
+DOCUMENT_CONFIGURATION: typing.Final = "configuration"
+DOCUMENT_HOSTS: typing.Final = "hosts"
+HEADER_VERSION: typing.Final = "Value-Version"
+HOSTS_INTERVAL_S: typing.Final = 1.0
+HOSTS_PATH: typing.Final = "/v1/hosts"
+MAX_RETRY_PAUSE_S: typing.Final = 5.0
+MAX_VALUE_BYTES: typing.Final = 1_000_000
+MIN_RETRY_PAUSE_S: typing.Final = 0.2
+READ_TIMEOUT_S: typing.Final = 3.0
+STATUS_NOT_MODIFIED: typing.Final = 304
+STATUS_OK: typing.Final = 200
+WATCH_SLACK_S: typing.Final = 3.0
--- /dev/null
+++ b/trefoilstand/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one daemon process."""
--- /dev/null
+++ b/trefoilstand/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The edge towards targets."""
--- /dev/null
+++ b/trefoilstand/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and service-level counts."""
--- /dev/null
+++ b/trefoilstand/util/__init__.py
@@ -0,0 +1,1 @@
+"""Pure helpers without state or I/O."""
