Refuse cut headers and stray answers of targets

Cause: two faults, found by scripted targets on real sockets. libcurl takes a header that ends with the connection as a whole answer, so a cut after "Content-Length: 0" or after a 204 status line was passed off as whole. And nothing in HTTP/1.1 says to which request an answer belongs: a stray answer on a kept connection passed for that of the next request.

Change: a header counts only with its closing blank line. Each exchange carries an identity; connections are kept only for targets that echo it, and on a kept connection only an answer with the right echo counts.

Conclusion: targets that do not echo cost a new connection per request.

--- a/trefoilstand/callers/application.py
+++ b/trefoilstand/callers/application.py
@@ -61,6 +61,9 @@
             response = self._serve_call(request)
         else:
             response = self._pages.serve(request)
+        exchange_id = request.headers.get(project_const.HEADER_EXCHANGE_ID)
+        if exchange_id:
+            response.headers[project_const.HEADER_EXCHANGE_ID] = exchange_id
         if self._application.phase is core.Phase.LEAVING:
             response.headers["Connection"] = "close"
         return response(environ, start_response)
--- a/trefoilstand/callers/dispatch.py
+++ b/trefoilstand/callers/dispatch.py
@@ -1,7 +1,5 @@
 """Carry one call to targets until it has an honest end."""
 
-import typing
-
 from trefoilstand import const as project_const
 from trefoilstand.callers import models
 from trefoilstand.configuration import const as configuration_const
@@ -19,8 +17,6 @@
 from trefoilstand.telemetry import metrics
 from trefoilstand.util import clock as clocks
 
-_FORWARDED_PREFIX: typing.Final = "trefoilstand-"
-
 
 class CallDispatcher:
     """Choose targets for calls, exchange, judge and retry.
@@ -175,7 +171,10 @@
             answer, judgement = self._attempt(chosen)
             if judgement.outcome is decision_models.Outcome.ANSWERED:
                 return self._end(
-                    judgement, answer.status, answer.headers, answer.body
+                    judgement,
+                    answer.status,
+                    _strip_own_fields(answer.headers),
+                    answer.body,
                 )
             if not self._may_retry():
                 return self._end(self._attempts.conclude())
@@ -237,16 +236,11 @@
             (project_const.HEADER_CALL_DEPTH, str(call.depth + 1)),
             (project_const.HEADER_RETRIES_LEFT, str(self._retries_left)),
         )
-        passed_fields = tuple(
-            item
-            for item in call.headers
-            if not item[0].lower().startswith(_FORWARDED_PREFIX)
-        )
         return targets_models.TargetRequest(
             address=chosen.target.address,
             method=call.method,
             path=call.path,
-            headers=passed_fields + own_fields,
+            headers=_strip_own_fields(call.headers) + own_fields,
             body=call.body,
             deadline_s=self._deadline_s,
             is_repeatable=self._is_repeatable,
@@ -254,6 +248,15 @@
         )
 
 
+def _strip_own_fields(fields: models.HeaderFields) -> models.HeaderFields:
+    """Leave out the fields that only entry hosts may set."""
+    return tuple(
+        item
+        for item in fields
+        if not item[0].lower().startswith(project_const.OWN_HEADER_PREFIX)
+    )
+
+
 def _is_unstarted(
     answer: targets_models.TargetAnswer,
     service: configuration_models.Service,
--- a/trefoilstand/decision/models.py
+++ b/trefoilstand/decision/models.py
@@ -18,6 +18,7 @@
     """Name the observation that justifies an outcome."""
 
     ANSWER_CUT = "answer_cut"
+    ANSWER_FOREIGN = "answer_foreign"
     ANSWER_TOO_LARGE = "answer_too_large"
     ANSWER_UNFRAMED = "answer_unframed"
     BODY_TOO_LARGE = "body_too_large"
--- a/trefoilstand/decision/outcomes.py
+++ b/trefoilstand/decision/outcomes.py
@@ -12,6 +12,7 @@
     ABORTED_LATE = "aborted_late"
     ABORTED_REPEAT = "aborted_repeat"
     ANSWER_CUT = "answer_cut"
+    ANSWER_FOREIGN = "answer_foreign"
     ANSWER_TOO_LARGE = "answer_too_large"
     CONNECTION_REFUSED = "connection_refused"
     CONNECTION_RESET = "connection_reset"
@@ -39,6 +40,7 @@
     Fault.ABORTED_LATE: models.Reason.DEADLINE_BEFORE_SEND,
     Fault.ABORTED_REPEAT: models.Reason.REPEAT_BLOCKED,
     Fault.ANSWER_CUT: models.Reason.ANSWER_CUT,
+    Fault.ANSWER_FOREIGN: models.Reason.ANSWER_FOREIGN,
     Fault.ANSWER_TOO_LARGE: models.Reason.ANSWER_TOO_LARGE,
     Fault.CONNECTION_REFUSED: models.Reason.CONNECTION_REFUSED,
     Fault.CONNECTION_RESET: models.Reason.CONNECTION_RESET,
--- a/trefoilstand/standins/target_service.py
+++ b/trefoilstand/standins/target_service.py
@@ -81,6 +81,9 @@
         response.headers[project_const.HEADER_TARGET_INCARNATION] = (
             self._incarnation
         )
+        exchange_id = request.headers.get(project_const.HEADER_EXCHANGE_ID)
+        if exchange_id:
+            response.headers[project_const.HEADER_EXCHANGE_ID] = exchange_id
         if self._behaviour.is_leaving:
             response.headers[project_const.HEADER_TARGET_STATE] = "leaving"
         return response(environ, start_response)
--- a/trefoilstand/targets/answer.py
+++ b/trefoilstand/targets/answer.py
@@ -14,6 +14,7 @@
         self._max_body_bytes = max_body_bytes
         self._body = bytearray()
         self._header_bytes = 0
+        self.is_header_complete = False
         self.is_too_large = False
         self.fields: list[tuple[str, str]] = []
 
@@ -30,6 +31,10 @@
             # Each interim answer starts a header of its own; only the
             # last one belongs to the final answer.
             self.fields = []
+            self.is_header_complete = False
+            return len(line)
+        if not line.strip():
+            self.is_header_complete = True
             return len(line)
         name, separator, value = line.partition(b":")
         if separator:
@@ -52,6 +57,14 @@
         self._body += data
         return len(data)
 
+    def field(self, name: str) -> str:
+        """Return the first field of a name, empty where there is none."""
+        wanted = name.lower()
+        for field, value in self.fields:
+            if field.lower() == wanted:
+                return value
+        return ""
+
     def body(self) -> bytes:
         """Return the body collected so far."""
         return bytes(self._body)
--- a/trefoilstand/targets/exchange.py
+++ b/trefoilstand/targets/exchange.py
@@ -1,16 +1,24 @@
 """Exchange one request and one answer with a target by libcurl.
 
+Nothing in HTTP/1.1 tells to which request an answer belongs, so a stray or
+late answer on a kept connection would pass for that of the next request.
+Each exchange therefore carries an identity of its own.  A connection is
+kept only for targets that echo it, and on a kept connection only an answer
+with the right echo counts.
+
 libcurl repeats a request by itself when a kept connection dies before the
 answer.  It asks the pre-request callback before every send, the repeat
 included, so that callback is the one place that permits a send: once per
 request, and only while the deadline has not passed.
 """
 
+import secrets
 import threading
 import typing
 
 import pycurl
 
+from trefoilstand import const as project_const
 from trefoilstand.decision import outcomes
 from trefoilstand.targets import answer
 from trefoilstand.targets import const
@@ -61,6 +69,7 @@
     def __init__(self, *, clock: clocks.Clock) -> None:
         self._clock = clock
         self._local = threading.local()
+        self._echoing: set[str] = set()
 
     def exchange(self, request: models.TargetRequest) -> models.TargetAnswer:
         """Send a request and wait for its whole answer.
@@ -78,9 +87,22 @@
         status = 0
         if left_ms >= const.MIN_TIMEOUT_MS:
             handle = self._handle()
+            exchange_id = secrets.token_hex(8)
             _prepare(handle, request, gate, collector, left_ms)
+            handle.setopt(
+                pycurl.HTTPHEADER, _header_lines(request, exchange_id)
+            )
+            if request.address not in self._echoing:
+                handle.setopt(pycurl.FORBID_REUSE, 1)
             fault = _perform(handle, gate, collector)
             status = int(handle.getinfo(pycurl.RESPONSE_CODE))
+            if fault is None:
+                is_kept = handle.getinfo(pycurl.NUM_CONNECTS) == 0
+                fault = self._check_echo(
+                    request.address, collector, exchange_id, is_kept
+                )
+                if fault is not None:
+                    self._drop_handle()
         return models.TargetAnswer(
             send_permitted=gate.is_used,
             fault=fault,
@@ -91,6 +113,28 @@
             latency_ms=(self._clock.now_s() - started_s) * 1000,
         )
 
+    def _check_echo(
+        self,
+        address: str,
+        collector: answer.AnswerCollector,
+        exchange_id: str,
+        is_kept: bool,
+    ) -> outcomes.Fault | None:
+        """Return a fault where the answer belongs to another request."""
+        echo = collector.field(project_const.HEADER_EXCHANGE_ID)
+        if echo == exchange_id:
+            self._echoing.add(address)
+            return None
+        self._echoing.discard(address)
+        if echo or is_kept:
+            return outcomes.Fault.ANSWER_FOREIGN
+        return None
+
+    def _drop_handle(self) -> None:
+        """Close the kept connections of this thread."""
+        self._local.handle.close()
+        del self._local.handle
+
     def _handle(self) -> pycurl.Curl:
         handle = getattr(self._local, "handle", None)
         if handle is None:
@@ -124,7 +168,6 @@
     set_option(pycurl.PREREQFUNCTION, gate.ask)
     set_option(pycurl.HEADERFUNCTION, collector.add_header_line)
     set_option(pycurl.WRITEFUNCTION, collector.add_body)
-    set_option(pycurl.HTTPHEADER, _header_lines(request))
     if not request.is_repeatable:
         # A kept connection may have died unseen, which would leave the
         # outcome unknown for no good reason.
@@ -137,7 +180,9 @@
     set_option(pycurl.CUSTOMREQUEST, request.method)
 
 
-def _header_lines(request: models.TargetRequest) -> list[str]:
+def _header_lines(
+    request: models.TargetRequest, exchange_id: str
+) -> list[str]:
     lines = [
         f"{name}: {value}" if value else f"{name};"
         for name, value in request.headers
@@ -146,6 +191,7 @@
     names = {name.lower() for name, _ in request.headers}
     # libcurl adds these fields by itself unless they are switched off.
     lines.append("Expect:")
+    lines.append(f"{project_const.HEADER_EXCHANGE_ID}: {exchange_id}")
     lines.extend(
         f"{name}:"
         for name in ("Accept", "Content-Type", "User-Agent")
@@ -167,4 +213,7 @@
         if collector.is_too_large:
             return outcomes.Fault.ANSWER_TOO_LARGE
         return _FAULTS.get(error.args[0], outcomes.Fault.MALFORMED_ANSWER)
+    if not collector.is_header_complete:
+        # libcurl takes a header that ends with the connection as whole.
+        return outcomes.Fault.ANSWER_CUT
     return None
