--- a/trefoilstand/helpers/toml_text.py
+++ b/trefoilstand/helpers/toml_text.py
@@ -1,5 +1,6 @@
 """Read TOML texts into frozen data classes and report every fault."""
 
+import collections.abc
 import re
 import tomllib
 import typing
@@ -64,9 +65,13 @@
         try:
             return adapter.validate_python(self.content)
         except pydantic.ValidationError as error:
+            found = {
+                tuple(item["loc"]): item["msg"] for item in error.errors()
+            }
             faults = [
-                self.fault(tuple(item["loc"]), item["msg"])
-                for item in error.errors()
+                self.fault(path, message)
+                for path, message in found.items()
+                if not _has_fault_inside(path, found)
             ]
             raise exceptions.TextFaultsError(
                 f"{len(faults)} faults in {self.source_name}", faults
@@ -84,6 +89,16 @@
         return exceptions.TextFaultError(place=place, expected=str(error))
 
 
+def _has_fault_inside(
+    path: KeyPath, found: collections.abc.Iterable[KeyPath]
+) -> bool:
+    """Return whether a fault only follows from one further inside."""
+    return any(
+        len(other) > len(path) and other[: len(path)] == path
+        for other in found
+    )
+
+
 def _index_lines(text: str) -> dict[KeyPath, int]:
     """Map each table and key to the line where it stands."""
     lines: dict[KeyPath, int] = {}
