Prove the promises among real processes; frame requests strictly

Cause: nothing was proved between processes. The first run showed three faults at the callers' edge: cheroot takes a request with both a length and a transfer coding, and the bytes after it ran as a second request on a target; it takes two different lengths; it takes "+5" as a length.

Ruled out: checks in the WSGI application; by then the server has already decided where the request ends.

Change: a header reader that refuses every doubt about the end of a request, names with an underscore and names with spaces. Gossip whose addresses are not numeric is passed over; one such member would have kept a starting host from ever serving.

Proof: kill, freeze and replacement of ticket owners and hosts, SIGTERM under load, leaving targets, five faults of the configuration service, a replaced host while it is stale, races of operators, bad callers.

Red first: 3 scenarios (both lengths, two lengths, "+5").

Conclusion: the promises hold in these schedules with three hosts; longer random schedules and sixteen hosts are left.

--- /dev/null
+++ b/features/fleet/callers.feature
@@ -0,0 +1,42 @@
+@fleet
+Feature: Slow, oversized and malformed callers
+
+  Scenario Outline: A bad request harms nobody
+    When a caller sends <bad request>
+    Then it gets status <status> or a closed connection
+    And no target ran anything for it
+    And the host still answers
+
+    Examples:
+      | bad request                         | status |
+      | a header that is too large          | 413 |
+      | a body that is too large            | 413 |
+      | garbage                             | 400 |
+      | both lengths                        | 400 |
+      | two different lengths               | 400 |
+      | a length that is no number          | 400 |
+      | a length after a space              | 400 |
+      | a length on two lines               | 400 |
+      | an unknown coding                   | 400 |
+      | half a body and leaves              | 400 |
+      | half a header and waits             | 408 |
+      | a deadline that is no number        | 400 |
+      | a call too deep                     | 508 |
+      | an unknown service                  | 404 |
+      | a chunked body that is cut          | 400 |
+
+  Scenario: Slow callers do not keep others from being served
+    When 20 callers send their header one byte a second
+    Then other callers are still answered within a second
+
+  Scenario: The path and the body reach the target unchanged
+    When a call with an encoded path and a query is sent
+    Then the target saw the same path and query
+
+  Scenario: Refusals are typed documents
+    When a call that nobody can serve is sent
+    Then the refusal names outcome, reason and request identity
+
+  Scenario: Status, explanation, report and metrics are served
+    Then the command line shows status, explanation and report
+    And the metrics are in the format of Prometheus
--- a/trefoilstand/callers/server.py
+++ b/trefoilstand/callers/server.py
@@ -8,6 +8,7 @@
 from trefoilstand import const as project_const
 from trefoilstand import core
 from trefoilstand.callers import const
+from trefoilstand.callers import framing
 from trefoilstand.util import address as addresses
 
 
@@ -38,6 +39,7 @@
             timeout=read_timeout_s,
             shutdown_timeout=const.STOP_TIMEOUT_S,
         )
+        self._server.ConnectionClass = framing.StrictConnection
         self._server.max_request_body_size = (
             project_const.MAX_REQUEST_BODY_BYTES
         )
--- a/trefoilstand/peers/codec.py
+++ b/trefoilstand/peers/codec.py
@@ -6,6 +6,7 @@
 from trefoilstand.decision import models as decision_models
 from trefoilstand.peers import models
 from trefoilstand.peers import peer_pb2
+from trefoilstand.util import address as addresses
 
 
 def encode_member(member: models.Member) -> peer_pb2.MemberUpdate:
@@ -23,9 +24,11 @@
 
 def decode_member(message: peer_pb2.MemberUpdate) -> models.Member | None:
     """Return the member of a message, None where it is malformed."""
-    if not message.peer_address or not message.process_id:
+    if not message.process_id:
         return None
     try:
+        addresses.parse_address(message.peer_address)
+        addresses.parse_address(message.caller_address)
         state = models.MemberState(message.state)
     except ValueError:
         return None
--- a/trefoilstand/standins/fleet.py
+++ b/trefoilstand/standins/fleet.py
@@ -134,6 +134,7 @@
         self.platform_address = f"{plan.network}.255.1:{_PLATFORM_PORT}"
         self.platform = control.PlatformControl(address=self.platform_address)
         self._helpers: list[subprocess.Popen[bytes]] = []
+        self.target_processes: list[subprocess.Popen[bytes]] = []
         self.entries = [
             self._plan_entry(index) for index in range(plan.entry_hosts)
         ]
@@ -196,6 +197,24 @@
                     )
                 time.sleep(_POLL_S)
 
+    def restore(self) -> None:
+        """Undo all faults, so that the next use finds a whole fleet."""
+        self.platform.set_fault("none")
+        for target in self.targets():
+            control.TargetControl(address=target.address).change(
+                service_ms=self.plan.service_ms,
+                slow_factor=1.0,
+                fails=False,
+                is_leaving=False,
+                renew=True,
+            )
+        self.publish_hosts()
+        for entry in self.entries:
+            entry.signal(signal.SIGCONT)
+            if entry.process is None or entry.process.poll() is not None:
+                entry.start()
+        self.wait_ready()
+
     def stop(self) -> None:
         """Kill all processes that this object started."""
         for entry in self.entries:
@@ -227,7 +246,7 @@
             same = [item for item in self.targets() if item.slots == count]
             shares = max(self.plan.target_processes // len(slots), 1)
             for share in range(shares):
-                self._start_helper(
+                process = self._start_helper(
                     "trefoilstand.standins.target_service",
                     "--slots",
                     str(count),
@@ -235,17 +254,20 @@
                     str(self.plan.service_ms),
                     *(item.address for item in same[share::shares]),
                 )
+                self.target_processes.append(process)
 
-    def _start_helper(self, module: str, *arguments: str) -> None:
+    def _start_helper(
+        self, module: str, *arguments: str
+    ) -> subprocess.Popen[bytes]:
         log_path = pathlib.Path(self._folder.name) / "helpers.log"
         with log_path.open("ab") as log:
-            self._helpers.append(
-                subprocess.Popen(
-                    [sys.executable, "-m", module, *arguments],
-                    stdout=log,
-                    stderr=log,
-                )
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=log,
             )
+        self._helpers.append(process)
+        return process
 
     def _domain(self, index: int) -> str:
         domains = sorted({item.failure_domain for item in self.targets()})
--- a/trefoilstand/standins/target_service.py
+++ b/trefoilstand/standins/target_service.py
@@ -112,7 +112,7 @@
         content = {
             "mark": mark,
             "method": request.method,
-            "path": request.path,
+            "target": request.environ.get("REQUEST_URI", ""),
             "body_bytes": len(body),
         }
         return werkzeug.Response(
@@ -142,6 +142,9 @@
     def _control(self, request: werkzeug.Request) -> werkzeug.Response:
         if request.path == "/control/behaviour":
             changes = json.loads(request.get_data())
+            if changes.pop("renew", False):
+                # From now on it plays a new process at its address.
+                self._incarnation = secrets.token_hex(4)
             self._behaviour = dataclasses.replace(self._behaviour, **changes)
         with self._lock:
             content = {
