Measure what an entry host adds to a call

Ruled out: senders that share a process; they wait for each other and blur the tail, so each caller is a process with a plain socket.

Change: experiments.latency; a server that keeps more than its default of 10 idle connections (with 16 callers it closed connections after each answer, which the measurement found).

--- a/trefoilstand/callers/const.py
+++ b/trefoilstand/callers/const.py
@@ -7,6 +7,7 @@
 
 LOGGED_CALL_RATIO: typing.Final = 0.01
 MAX_ADDRESSES: typing.Final = 4
+MAX_KEPT_CONNECTIONS: typing.Final = 4096
 MAX_REQUEST_ID_CHARACTERS: typing.Final = 128
 MAX_TICKETS_PER_ANSWER: typing.Final = 16
 REQUEST_QUEUE_SIZE: typing.Final = 256
--- a/trefoilstand/callers/server.py
+++ b/trefoilstand/callers/server.py
@@ -40,6 +40,7 @@
             shutdown_timeout=const.STOP_TIMEOUT_S,
         )
         self._server.ConnectionClass = framing.StrictConnection
+        self._server.keep_alive_conn_limit = const.MAX_KEPT_CONNECTIONS
         self._server.max_request_body_size = (
             project_const.MAX_REQUEST_BODY_BYTES
         )
--- /dev/null
+++ b/trefoilstand/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tools of the project, no part of a deployment."""
--- /dev/null
+++ b/trefoilstand/experiments/latency.py
@@ -0,0 +1,182 @@
+"""Measure what one entry host adds to a call, against the direct call."""
+
+import dataclasses
+import os
+import pathlib
+import statistics
+import sys
+import typing
+
+import cappa
+
+from trefoilstand.cli import output
+from trefoilstand.experiments import raw_load
+from trefoilstand.standins import fleet
+from trefoilstand.standins import load
+
+GOAL_MS: typing.Final = 0.74
+_CALLERS: typing.Final = (1, 4, 16)
+_TEXT: typing.Final = """format_version = 1
+[measuring]
+fleet_probes_per_second = 40.0
+fleet_bytes_per_second = 40000.0
+target_probes_per_second = 4.0
+max_entry_processes = 8
+[services.quotes]
+[services.quotes.objective]
+answered_ratio = 0.999
+latency_ms = 100
+latency_ratio = 0.99
+"""
+_TARGET: typing.Final = """
+[[services.quotes.targets]]
+address = "127.51.1.{number}:9000"
+failure_domain = "a"
+slots = 16
+"""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Added:
+    """Hold what one entry host adds at one number of callers.
+
+    :param callers: callers at the same time.
+    :param direct_p50_ms: median of the direct call.
+    :param direct_p99_ms: 99th percentile of the direct call.
+    :param added_p50_ms: added to the median.
+    :param added_p99_ms: added to the 99th percentile.
+    :param cpu_us: processor time of the entry host for a call.
+    """
+
+    callers: int
+    direct_p50_ms: float
+    direct_p99_ms: float
+    added_p50_ms: float
+    added_p99_ms: float
+    cpu_us: float
+
+
+@cappa.command(name="latency")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LatencyCommand:
+    """Compare calls through an entry host with direct calls."""
+
+    rounds: typing.Annotated[int, cappa.Arg(long=True)] = 5
+    calls: typing.Annotated[int, cappa.Arg(long=True)] = 2000
+    json: typing.Annotated[bool, cappa.Arg(long=True)] = False
+
+    def __call__(self) -> int:
+        """Run the measurement and return the exit code."""
+        rows = measure(rounds=self.rounds, calls=self.calls)
+        if self.json:
+            output.print_json([dataclasses.asdict(row) for row in rows])
+            return 0
+        output.print_table(
+            (
+                "callers",
+                "direct p50",
+                "direct p99",
+                "added p50",
+                "added p99",
+                "of goal",
+                "cpu us",
+                "calls/s/core",
+            ),
+            (
+                (
+                    row.callers,
+                    f"{row.direct_p50_ms:.2f}",
+                    f"{row.direct_p99_ms:.2f}",
+                    f"{row.added_p50_ms:.2f}",
+                    f"{row.added_p99_ms:.2f}",
+                    f"{row.added_p99_ms / GOAL_MS:.1f}x",
+                    f"{row.cpu_us:.0f}",
+                    f"{1e6 / row.cpu_us:.0f}",
+                )
+                for row in rows
+            ),
+        )
+        return 0
+
+
+def measure(*, rounds: int, calls: int) -> list[Added]:
+    """Return the medians over rounds that take turns."""
+    text = _TEXT + "".join(_TARGET.format(number=number) for number in (1, 2))
+    plan = fleet.FleetPlan(
+        text=text,
+        network="127.50",
+        entry_hosts=1,
+        service_ms=0.0,
+        target_processes=2,
+    )
+    with fleet.Fleet(plan=plan) as started:
+        return [
+            _measure_callers(started, callers, rounds, calls)
+            for callers in _CALLERS
+        ]
+
+
+def _measure_callers(
+    started: fleet.Fleet, callers: int, rounds: int, calls: int
+) -> Added:
+    entry = started.entries[0]
+    target = started.targets()[0].address
+    direct: list[list[float]] = []
+    through: list[list[float]] = []
+    cpu_us: list[float] = []
+    for _ in range(rounds):
+        direct.append(_run(target, "/quotes/1", callers, calls))
+        before_s = _cpu_s(entry)
+        through.append(
+            _run(
+                entry.caller_address,
+                "/services/quotes/quotes/1",
+                callers,
+                calls,
+            )
+        )
+        used_s = _cpu_s(entry) - before_s
+        cpu_us.append(used_s * 1e6 / len(through[-1]))
+    return Added(
+        callers=callers,
+        direct_p50_ms=_median(direct, 0.5),
+        direct_p99_ms=_median(direct, 0.99),
+        added_p50_ms=_median(through, 0.5) - _median(direct, 0.5),
+        added_p99_ms=_median(through, 0.99) - _median(direct, 0.99),
+        cpu_us=statistics.median(cpu_us),
+    )
+
+
+def _run(address: str, path: str, callers: int, calls: int) -> list[float]:
+    return raw_load.run(
+        raw_load.RawPlan(
+            address=address,
+            request=raw_load.get_request(path),
+            callers=callers,
+            calls=max(calls // callers, 100),
+        )
+    ).latencies_ms
+
+
+def _median(rounds: list[list[float]], share: float) -> float:
+    return statistics.median(
+        load.percentile(latencies_ms, share) for latencies_ms in rounds
+    )
+
+
+def _cpu_s(entry: fleet.EntryProcess) -> float:
+    if entry.process is None:
+        return 0.0
+    path = pathlib.Path(f"/proc/{entry.process.pid}/stat")
+    fields = path.read_text(encoding="ascii").rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def main() -> None:
+    """Run the measurement."""
+    sys.exit(cappa.parse(LatencyCommand)())
+
+
+if __name__ == "__main__":
+    main()
--- a/trefoilstand/standins/target_service.py
+++ b/trefoilstand/standins/target_service.py
@@ -23,6 +23,7 @@
 from trefoilstand.targets import const as targets_const
 from trefoilstand.util import address as addresses
 
+_CONNECTIONS: typing.Final = 200
 SHED_HEADER: typing.Final = "Target-Shed"
 
 
@@ -186,6 +187,7 @@
             numthreads=command.slots + command.queue + 4,
             max=command.slots + command.queue + 4,
         )
+        server.keep_alive_conn_limit = _CONNECTIONS
         thread = threading.Thread(target=server.start, daemon=True)
         thread.start()
         threads.append(thread)
