Pass on what the list says of leaving targets; pace its reads

Cause: a target that only one host finds listed as leaving kept getting work from hosts that cannot reach the platform, although the first sign had reached one of us. And every process read the list each second, which passes 2,000 reads a second from 2,000 processes on.

Ruled out: turning a list entry into a lasting mark; the list names no process and lags, so a replaced target would be shut out for good.

Change: listed addresses travel in gossip with their age and count for 10 s after they were read; the pause between reads grows so that all processes together read the list at most 200 times a second. A call without a ticket is told "tickets_full" where none can be issued.

Conclusion: the 5 s for leaving targets now hold for hosts that are cut off from the platform but not from their peers.

--- a/features/decision/engine.feature
+++ b/features/decision/engine.feature
@@ -13,6 +13,12 @@
       | a peer                          |
       | a peer before it was ever heard |
 
+  Scenario: What a peer read in the list counts while it is fresh
+    Given an engine for a service of 4 targets
+    When a peer says that target 0 is listed as leaving
+    Then target 0 gets no new work
+    And target 0 gets work again 11 seconds after the last word of it
+
   Scenario: A leaving target in the text gets no work
     Given an engine for a service of 4 targets, of which 1 is leaving
     When 200 calls are begun and ended
--- a/features/peers/gossip.feature
+++ b/features/peers/gossip.feature
@@ -42,6 +42,12 @@
     When one host learns that a target is leaving
     Then all hosts know it within 5 seconds
 
+  Scenario: A target that one host finds listed as leaving is known to all
+    Given 16 entry hosts that lose 20 percent of messages
+    When one host reads in the list that a target is leaving
+    Then no host gives it new work after 5 seconds
+    And all give it new work 15 seconds after the list calls it live
+
   Scenario: One probe informs all
     Given 16 entry hosts that lose 0 percent of messages
     When one host probes a target
--- a/features/steps/engine_steps.py
+++ b/features/steps/engine_steps.py
@@ -108,6 +108,19 @@
     context.engine.observe(_address(0), result, context.now_s)
 
 
+@when("a peer says that target 0 is listed as leaving")
+def listed_by_peer(context):
+    _hear_all(context)
+    context.engine.note_listed_leaving(_address(0), context.now_s)
+
+
+@then("target 0 gets work again {seconds:d} seconds after the last word of it")
+def work_after_silence(context, seconds):
+    context.now_s += seconds
+    context.engine.tick(context.now_s)
+    assert _place(context, 100)[_address(0)] > 0
+
+
 @then("target 0 gets no new work")
 def no_new_work(context):
     assert _place(context, 100)[_address(0)] == 0
@@ -115,8 +128,8 @@
 
 @then("target 0 gets no new work after a lagging list calls it live")
 def no_work_after_list(context):
-    context.engine.replace_listed_leaving(frozenset({_address(0)}))
-    context.engine.replace_listed_leaving(frozenset())
+    context.engine.take_listed_leaving(frozenset({_address(0)}), context.now_s)
+    context.engine.take_listed_leaving(frozenset(), context.now_s)
     context.now_s += 600
     context.engine.tick(context.now_s)
     no_new_work(context)
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -165,6 +165,41 @@
     assert net.run(_rounds(seconds), is_known) is not None
 
 
+_LISTED = "127.9.0.1:9000"
+
+
+def _gives_work(node):
+    rows = node.decisions.explain("quotes", node.clock.now_s())
+    return any(
+        row.address == _LISTED and row.status == "eligible" for row in rows
+    )
+
+
+@when("one host reads in the list that a target is leaving")
+def read_list(context):
+    context.net.nodes[gossip_net.name_of(1)].list_leaving = {_LISTED}
+
+
+@then("no host gives it new work after {seconds:d} seconds")
+def check_listed(context, seconds):
+    context.net.run(_rounds(seconds))
+    for _ in range(40):
+        context.net.run(1)
+        working = [
+            name
+            for name, node in context.net.nodes.items()
+            if _gives_work(node)
+        ]
+        assert not working, working
+
+
+@then("all give it new work {seconds:d} seconds after the list calls it live")
+def check_unlisted(context, seconds):
+    context.net.nodes[gossip_net.name_of(1)].list_leaving = set()
+    context.net.run(_rounds(seconds))
+    assert all(_gives_work(node) for node in context.net.nodes.values())
+
+
 @when("one host probes a target")
 def probe(context):
     net = context.net
--- a/features/support/gossip_net.py
+++ b/features/support/gossip_net.py
@@ -30,6 +30,7 @@
         self.clock = clock
         self.is_frozen = False
         self.versions = []
+        self.list_leaving = set()
         self.configurations = coordinator.ConfigurationCoordinator()
         self.decisions = engine.DecisionEngine(
             policy=selection.RandomPolicy(random_source=source),
@@ -54,6 +55,7 @@
             decisions=self.decisions,
             board=self.board,
             clock=clock,
+            random_source=source,
         )
 
     def _load(self, loaded):
@@ -102,7 +104,12 @@
             self.random.shuffle(order)
             for node in order:
                 if not node.is_frozen:
-                    node.members.tick(self.clock.now_s())
+                    now_s = self.clock.now_s()
+                    node.members.tick(now_s)
+                    node.decisions.take_listed_leaving(
+                        frozenset(node.list_leaving), now_s
+                    )
+                    node.decisions.tick(now_s)
                     self._round(node)
             if done is not None and done():
                 return number + 1
--- a/trefoilstand/assembly.py
+++ b/trefoilstand/assembly.py
@@ -105,6 +105,7 @@
                 decisions=self.decisions,
                 board=self.board,
                 clock=self.clock,
+                random_source=self.random_source,
             ),
             configurations=self.configurations,
             on_call=lambda call: self.callers.run_forwarded(call),
@@ -158,6 +159,7 @@
                 platform=self._make_platform_client(),
                 random_source=self.random_source,
                 listener=self._take_hosts,
+                count_hosts=lambda: len(self.members.live()) + 1,
             ),
             watcher.ConfigurationWatcher(
                 platform=self._make_platform_client(),
@@ -224,13 +226,14 @@
                 if host.role is platform_models.HostRole.ENTRY
             )
         )
-        self.decisions.replace_listed_leaving(
+        self.decisions.take_listed_leaving(
             frozenset(
                 host.address
                 for host in listed.hosts
                 if host.role is platform_models.HostRole.TARGET
                 and host.state is platform_models.HostState.LEAVING
-            )
+            ),
+            self.clock.now_s(),
         )
 
     def _should_read(self) -> bool:
--- a/trefoilstand/callers/application.py
+++ b/trefoilstand/callers/application.py
@@ -141,13 +141,22 @@
         path = call.path.partition("?")[0]
         if service is None or service.is_repeatable(call.method, path):
             return self._dispatcher.run(call, is_repeatable=True)
+        return self._demand_ticket()
+
+    def _demand_ticket(self) -> models.CallEnd:
+        """Refuse work that came without a ticket, and offer one."""
+        ticket = self._ticketed.issue_or_empty()
+        if not ticket:
+            return models.not_run(
+                decision_models.Reason.TICKETS_FULL, retry_after_ms=1000
+            )
         return models.CallEnd(
             judgement=decision_models.Judgement(
                 outcome=decision_models.Outcome.NOT_RUN,
                 reason=decision_models.Reason.TICKET_REQUIRED,
             ),
             is_repeatable=False,
-            next_ticket=self._ticketed.issue_or_empty(),
+            next_ticket=ticket,
         )
 
     def _record(self, call: models.Call, end: models.CallEnd) -> None:
--- a/trefoilstand/decision/draining.py
+++ b/trefoilstand/decision/draining.py
@@ -21,7 +21,7 @@
             collections.OrderedDict()
         )
         self._incarnations: dict[str, set[str]] = {}
-        self._listed: frozenset[str] = frozenset()
+        self._listed_s: dict[str, float] = {}
 
     def mark(self, address: str, incarnation: str, now_s: float) -> bool:
         """Record that a target process is leaving.
@@ -37,15 +37,27 @@
         self._incarnations.setdefault(address, set()).add(incarnation)
         return True
 
-    def replace_listed(self, addresses: frozenset[str]) -> None:
-        """Replace the addresses that the platform lists as leaving."""
-        self._listed = addresses
+    def note_listed(self, address: str, read_s: float) -> None:
+        """Record that somebody read in the list that a target leaves.
+
+        The list names no process and lags, so this counts for some
+        seconds only and must be heard again.
+
+        :param address: listed address.
+        :param read_s: monotonic time when the list was read.
+        """
+        known_s = self._listed_s.get(address, read_s)
+        self._listed_s[address] = max(known_s, read_s)
+
+    def listed(self) -> dict[str, float]:
+        """Return when each listed address was read last."""
+        return dict(self._listed_s)
 
     def is_leaving(
         self, target: models.TargetEntity, incarnation: str
     ) -> bool:
         """Return whether a target may receive no new work."""
-        if target.configured_leaving or target.address in self._listed:
+        if target.configured_leaving or target.address in self._listed_s:
             return True
         marked = self._incarnations.get(target.address)
         if not marked:
@@ -58,6 +70,11 @@
 
     def expire(self, now_s: float) -> None:
         """Drop marks so old that their process must have ended."""
+        self._listed_s = {
+            address: read_s
+            for address, read_s in self._listed_s.items()
+            if now_s - read_s < const.LISTED_LIFETIME_S
+        }
         horizon_s = now_s - const.LEAVING_RECORD_LIFETIME_S
         while self._marked_s:
             if next(iter(self._marked_s.values())) >= horizon_s:
--- a/trefoilstand/decision/engine.py
+++ b/trefoilstand/decision/engine.py
@@ -166,10 +166,23 @@
         with self._lock:
             return self._leaving.mark(address, incarnation, now_s)
 
-    def replace_listed_leaving(self, addresses: frozenset[str]) -> None:
-        """Replace the addresses that the platform lists as leaving."""
+    def take_listed_leaving(
+        self, addresses: frozenset[str], now_s: float
+    ) -> None:
+        """Take over the addresses that the platform lists as leaving."""
+        with self._lock:
+            for address in addresses:
+                self._leaving.note_listed(address, now_s)
+
+    def note_listed_leaving(self, address: str, read_s: float) -> None:
+        """Record that a peer found an address listed as leaving."""
+        with self._lock:
+            self._leaving.note_listed(address, read_s)
+
+    def listed_leaving(self) -> dict[str, float]:
+        """Return when each listed address was read last, by anybody."""
         with self._lock:
-            self._leaving.replace_listed(addresses)
+            return self._leaving.listed()
 
     def leaving_marks(self) -> list[tables.LeavingMark]:
         """Return the known leaving target processes, newest first."""
--- a/trefoilstand/experiments/capacity.py
+++ b/trefoilstand/experiments/capacity.py
@@ -183,6 +183,7 @@
         decisions=decisions,
         board=reports.ReportBoard(),
         clock=clock,
+        random_source=random.Random(1),
     )
     tracemalloc.start()
     for number in range(1, hosts):
--- a/trefoilstand/peers/const.py
+++ b/trefoilstand/peers/const.py
@@ -9,6 +9,7 @@
 EAGER_PINGS: typing.Final = 3
 MAX_CHANNELS: typing.Final = 64
 MAX_FORWARD_THREADS: typing.Final = 16
+MAX_GOSSIP_LISTED: typing.Final = 16
 MAX_GOSSIP_MARKS: typing.Final = 16
 MAX_GOSSIP_MEMBERS: typing.Final = 16
 MAX_GOSSIP_REPORTS: typing.Final = 16
--- a/trefoilstand/peers/gossip.py
+++ b/trefoilstand/peers/gossip.py
@@ -1,5 +1,6 @@
 """Make the content of pings and take in what they bring."""
 
+import random
 import zlib
 
 from trefoilstand.configuration import coordinator
@@ -21,6 +22,7 @@
     :param decisions: engine that learns reports and marks.
     :param board: own statements to pass on.
     :param clock: source of the time.
+    :param random_source: chooses what a full message carries.
     """
 
     def __init__(
@@ -31,12 +33,14 @@
         decisions: engine.DecisionEngine,
         board: reports.ReportBoard,
         clock: clocks.Clock,
+        random_source: random.Random,
     ) -> None:
         self._members = members
         self._configurations = configurations
         self._decisions = decisions
         self._board = board
         self._clock = clock
+        self._random = random_source
 
     def has_seeds(self) -> bool:
         """Return whether the published list has been read once."""
@@ -46,7 +50,6 @@
         """Return the message for the next ping or acknowledgement."""
         now_s = self._clock.now_s()
         version, digest = self._configurations.order_key
-        marks = self._decisions.leaving_marks()[: const.MAX_GOSSIP_MARKS]
         return peer_pb2.Gossip(
             sender=codec.encode_member(self._members.own),
             members=[
@@ -57,13 +60,32 @@
             configuration_digest=digest,
             reports=self._board.encode(now_s),
             leaving_marks=[
-                peer_pb2.LeavingMark(
-                    address=mark.address, incarnation=mark.incarnation
-                )
-                for mark in marks
+                *self._make_marks(),
+                *self._make_listed_marks(now_s),
             ],
         )
 
+    def _make_marks(self) -> list[peer_pb2.LeavingMark]:
+        marks = self._decisions.leaving_marks()[: const.MAX_GOSSIP_MARKS]
+        return [
+            peer_pb2.LeavingMark(
+                address=mark.address, incarnation=mark.incarnation
+            )
+            for mark in marks
+        ]
+
+    def _make_listed_marks(self, now_s: float) -> list[peer_pb2.LeavingMark]:
+        listed = list(self._decisions.listed_leaving().items())
+        if len(listed) > const.MAX_GOSSIP_LISTED:
+            listed = self._random.sample(listed, const.MAX_GOSSIP_LISTED)
+        return [
+            peer_pb2.LeavingMark(
+                address=address,
+                age_ms=max(int((now_s - read_s) * 1000), 0),
+            )
+            for address, read_s in listed
+        ]
+
     def take_in(self, message: peer_pb2.Gossip, now_s: float) -> bool:
         """Learn from a message.
 
@@ -86,7 +108,13 @@
         return key > self._configurations.order_key
 
     def _take_marks(self, message: peer_pb2.Gossip, now_s: float) -> None:
-        for mark in message.leaving_marks[: const.MAX_GOSSIP_MARKS]:
+        limit = const.MAX_GOSSIP_MARKS + const.MAX_GOSSIP_LISTED
+        for mark in message.leaving_marks[:limit]:
+            if not mark.incarnation:
+                self._decisions.note_listed_leaving(
+                    mark.address, now_s - mark.age_ms / 1000
+                )
+                continue
             if self._decisions.mark_leaving(
                 mark.address, mark.incarnation, now_s
             ):
--- a/trefoilstand/platform/const.py
+++ b/trefoilstand/platform/const.py
@@ -6,6 +6,7 @@
 DOCUMENT_CONFIGURATION: typing.Final = "configuration"
 DOCUMENT_HOSTS: typing.Final = "hosts"
 HEADER_VERSION: typing.Final = "Value-Version"
+FLEET_LIST_READS_PER_SECOND: typing.Final = 200
 HOSTS_INTERVAL_S: typing.Final = 1.0
 HOSTS_PATH: typing.Final = "/v1/hosts"
 MAX_RETRY_PAUSE_S: typing.Final = 5.0
--- a/trefoilstand/platform/watcher.py
+++ b/trefoilstand/platform/watcher.py
@@ -100,6 +100,8 @@
     :param platform: client for this thread alone.
     :param random_source: source of jitter.
     :param listener: called with each list.
+    :param count_hosts: tells how many entry hosts read the list, which
+        bounds the reads of all together.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         platform: client.PlatformClient,
         random_source: random.Random,
         listener: HostListener,
+        count_hosts: collections.abc.Callable[[], int],
     ) -> None:
         super().__init__(
             name="hosts_watcher",
@@ -115,10 +118,15 @@
             random_source=random_source,
         )
         self._listener = listener
+        self._count_hosts = count_hosts
 
     def step(self) -> None:
         """Read the list once and pass it on."""
         self._listener(self._platform.read_hosts())
         self._failures = 0
         jitter = 0.75 + 0.5 * self._random.random()
-        self.pause(const.HOSTS_INTERVAL_S * jitter)
+        interval_s = max(
+            const.HOSTS_INTERVAL_S,
+            self._count_hosts() / const.FLEET_LIST_READS_PER_SECOND,
+        )
+        self.pause(interval_s * jitter)
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -92,15 +92,6 @@
     cause: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PlatformUnreachable(Event):
-    """Record that a service of the platform did not answer."""
-
-    document: str
-    error_type: str
-    detail: str
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TargetLeaving(Event):
     """Record the first sign that a target is leaving."""
