--- a/trefoilstand/experiments/latency.py
+++ b/trefoilstand/experiments/latency.py
@@ -2,8 +2,6 @@
 
 import collections.abc
 import dataclasses
-import os
-import pathlib
 import statistics
 import sys
 import typing
@@ -162,14 +160,14 @@
     for _ in range(rounds):
         direct.append(_run(target, "/quotes/1", callers, calls))
         for entry, sample in zip(started.entries, samples, strict=True):
-            before_s = _cpu_s(entry)
+            before_s = entry.cpu_s()
             latencies_ms = _run(
                 entry.caller_address,
                 "/services/quotes/quotes/1",
                 callers,
                 calls,
             )
-            used_s = _cpu_s(entry) - before_s
+            used_s = entry.cpu_s() - before_s
             sample.latencies_ms.append(latencies_ms)
             sample.cpu_us.append(used_s * 1e6 / len(latencies_ms))
     direct_p50_ms, direct_p99_ms = _median(direct, 0.5), _median(direct, 0.99)
@@ -204,15 +202,6 @@
     )
 
 
-def _cpu_s(entry: fleet.EntryProcess) -> float:
-    if entry.process is None:
-        return 0.0
-    path = pathlib.Path(f"/proc/{entry.process.pid}/stat")
-    fields = path.read_text(encoding="ascii").rpartition(")")[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    return ticks / os.sysconf("SC_CLK_TCK")
-
-
 def main() -> None:
     """Run the measurement."""
     sys.exit(cappa.parse(LatencyCommand)())
--- a/trefoilstand/standins/fleet.py
+++ b/trefoilstand/standins/fleet.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -105,6 +106,23 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def cpu_s(self) -> float:
+        """Return the processor time that the process has used."""
+        fields = self._read_proc("stat").rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def resident_mb(self) -> float:
+        """Return the resident memory of the process in megabytes."""
+        pages = int(self._read_proc("statm").split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+    def _read_proc(self, name: str) -> str:
+        if self.process is None:
+            raise FleetStartError("the process was not started")
+        path = pathlib.Path(f"/proc/{self.process.pid}/{name}")
+        return path.read_text(encoding="ascii")
+
     def status(self) -> fetch.Document | None:
         """Return its status document, None where it does not answer."""
         return fetch.fetch(
