Finish forwarded calls before an entry host stops

Change: the stop waits up to 30 s for forwarded calls.

Red first: a forwarded booking of 800 ms that outlasts its owner's time to leave ended "unknown, owner_lost"; now it is answered whole.

--- a/features/fleet/promises.feature
+++ b/features/fleet/promises.feature
@@ -46,6 +46,12 @@
     And no promise was broken
     And the host ended with exit code 0
 
+  Scenario: An owner is told to stop while it runs a forwarded booking
+    Given targets that work for 800 ms
+    When the owner is told to stop and a booking reaches it by another host
+    Then the booking is answered whole
+    And the booking ran at most once
+
   Scenario: A target says that it is leaving, under load
     When target 0 of "bookings" says that it is leaving under load
     Then it got no new work after 5 seconds
--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -104,7 +104,7 @@
     feature: dict[str, typing.Any], element: dict[str, typing.Any]
 ) -> Verdict:
     messages = [
-        "\n".join(step["result"].get("error_message", []))
+        _read_message(step["result"].get("error_message", ""))
         for step in element["steps"]
         if step.get("result", {}).get("status") not in ("passed", "skipped")
         and "result" in step
@@ -116,6 +116,11 @@
     )
 
 
+def _read_message(message: str | list[str]) -> str:
+    """Return the message of a step, which the reporter may split."""
+    return message if isinstance(message, str) else "\n".join(message)
+
+
 def main() -> int:
     """Run everything and return the exit code."""
     verdicts = [run_tool(name, parts) for name, parts in _CHECKS.items()]
--- a/trefoilstand/cli/call.py
+++ b/trefoilstand/cli/call.py
@@ -6,6 +6,7 @@
 
 import cappa
 
+from trefoilstand.cli import arguments
 from trefoilstand.cli import const
 from trefoilstand.cli import output
 from trefoilstand.client import entry_client
@@ -24,9 +25,7 @@
     Exit code 0 means an answer, 3 means none.
     """
 
-    address: typing.Annotated[
-        str, cappa.Arg(help="Caller address of an entry host.")
-    ]
+    address: arguments.HostAddress
     failure_domain: typing.Annotated[
         str, cappa.Arg(long=True, help="Failure domain of the caller.")
     ] = ""
@@ -73,10 +72,8 @@
     the call was not run or its end is unknown.
     """
 
-    address: typing.Annotated[
-        str, cappa.Arg(help="Caller address of an entry host.")
-    ]
-    service: typing.Annotated[str, cappa.Arg(help="Name of the service.")]
+    address: arguments.HostAddress
+    service: arguments.ServiceName
     method: typing.Annotated[str, cappa.Arg(help="HTTP method.")]
     path: typing.Annotated[str, cappa.Arg(help="Path, with a slash.")]
     body: typing.Annotated[
--- a/trefoilstand/cli/report.py
+++ b/trefoilstand/cli/report.py
@@ -7,6 +7,7 @@
 import cappa
 
 from trefoilstand.callers import const as callers_const
+from trefoilstand.cli import arguments
 from trefoilstand.cli import fetch
 from trefoilstand.cli import output
 from trefoilstand.cli import status
@@ -44,10 +45,7 @@
     the figures lack their calls.
     """
 
-    addresses: typing.Annotated[
-        list[str],
-        cappa.Arg(num_args=-1, help="Caller addresses of entry hosts."),
-    ]
+    addresses: arguments.HostAddresses
     json: typing.Annotated[bool, cappa.Arg(long=True, help="Print JSON.")] = (
         False
     )
--- a/trefoilstand/cli/status.py
+++ b/trefoilstand/cli/status.py
@@ -6,6 +6,7 @@
 import cappa
 
 from trefoilstand.callers import const as callers_const
+from trefoilstand.cli import arguments
 from trefoilstand.cli import const
 from trefoilstand.cli import fetch
 from trefoilstand.cli import output
@@ -21,10 +22,7 @@
     Exit code 0 means that all answered, 3 that some did not.
     """
 
-    addresses: typing.Annotated[
-        list[str],
-        cappa.Arg(num_args=-1, help="Caller addresses of entry hosts."),
-    ]
+    addresses: arguments.HostAddresses
     json: typing.Annotated[bool, cappa.Arg(long=True, help="Print JSON.")] = (
         False
     )
@@ -52,10 +50,8 @@
     Exit code 0 means that it answered, 3 that it did not.
     """
 
-    address: typing.Annotated[
-        str, cappa.Arg(help="Caller address of an entry host.")
-    ]
-    service: typing.Annotated[str, cappa.Arg(help="Name of the service.")]
+    address: arguments.HostAddress
+    service: arguments.ServiceName
     json: typing.Annotated[bool, cappa.Arg(long=True, help="Print JSON.")] = (
         False
     )
--- a/trefoilstand/peers/const.py
+++ b/trefoilstand/peers/const.py
@@ -18,5 +18,7 @@
 PING_TIMEOUT_S: typing.Final = 0.4
 READERS_PER_FAILURE_DOMAIN: typing.Final = 2
 RELAYS: typing.Final = 2
+STOP_POLL_S: typing.Final = 0.02
+STOP_TIMEOUT_S: typing.Final = 30.0
 SUSPECT_TIMEOUT_S: typing.Final = 2.0
 UPDATE_SENDS: typing.Final = 8
--- a/trefoilstand/peers/runtime.py
+++ b/trefoilstand/peers/runtime.py
@@ -5,6 +5,7 @@
 import collections.abc
 import concurrent.futures
 import threading
+import time
 import typing
 import zlib
 
@@ -65,7 +66,6 @@
         self._members = members
         self._exchange = exchange
         self._configurations = configurations
-        self._on_call = on_call
         self._heartbeat_interval_s = heartbeat_interval_s
         self._loop = asyncio.new_event_loop()
         self._thread = concurrent.futures.ThreadPoolExecutor(
@@ -75,6 +75,15 @@
             max_workers=const.MAX_FORWARD_THREADS,
             thread_name_prefix="forwarded",
         )
+        self._service = service.PeerService(
+            on_gossip=self._answer_ping,
+            on_relay=self._ping_plainly,
+            on_call=on_call,
+            configurations=configurations,
+            executor=self._calls,
+            clock=application.clock,
+            process_metrics=application.metrics,
+        )
         self._channels: collections.OrderedDict[
             str, grpclib.client.Channel
         ] = collections.OrderedDict()
@@ -100,7 +109,12 @@
         self._loop.call_soon_threadsafe(self._spawn_eager_pings)
 
     def stop(self) -> None:
-        """End the rounds and close all connections."""
+        """Finish forwarded calls, end the rounds, close connections."""
+        until_s = self._application.clock.now_s() + const.STOP_TIMEOUT_S
+        while self._service.active_calls:
+            if self._application.clock.now_s() >= until_s:
+                break
+            time.sleep(const.STOP_POLL_S)
         self._loop.call_soon_threadsafe(self._cancel_all)
         self._thread.shutdown(wait=True)
         self._calls.shutdown(wait=False)
@@ -146,16 +160,7 @@
 
     async def _main(self) -> None:
         own = addresses.parse_address(self._members.own.peer_address)
-        handler = service.PeerService(
-            on_gossip=self._answer_ping,
-            on_relay=self._ping_plainly,
-            on_call=self._on_call,
-            configurations=self._configurations,
-            executor=self._calls,
-            clock=self._application.clock,
-            process_metrics=self._application.metrics,
-        )
-        server = grpclib.server.Server([handler])
+        server = grpclib.server.Server([self._service])
         await server.start(own.ip, own.port)
         self._started.set()
         try:
--- a/trefoilstand/peers/service.py
+++ b/trefoilstand/peers/service.py
@@ -53,6 +53,7 @@
         self._executor = executor
         self._clock = clock
         self._metrics = process_metrics
+        self.active_calls = 0
 
     async def Ping(  # noqa: N802
         self,
@@ -112,10 +113,16 @@
             return
         call = codec.decode_call(request, self._clock.now_s())
         loop = asyncio.get_running_loop()
-        end = await loop.run_in_executor(self._executor, self._on_call, call)
-        reply = codec.encode_end(end)
-        self._count("forward", request.ByteSize() + reply.ByteSize())
-        await stream.send_message(reply)
+        self.active_calls += 1
+        try:
+            end = await loop.run_in_executor(
+                self._executor, self._on_call, call
+            )
+            reply = codec.encode_end(end)
+            self._count("forward", request.ByteSize() + reply.ByteSize())
+            await stream.send_message(reply)
+        finally:
+            self.active_calls -= 1
 
     def _count(self, method: str, size_bytes: int) -> None:
         self._metrics.record_peer_message(method, size_bytes)
--- a/trefoilstand/standins/fleet.py
+++ b/trefoilstand/standins/fleet.py
@@ -229,6 +229,7 @@
             control.TargetControl(address=target.address).change(
                 service_ms=self.plan.service_ms,
                 slow_factor=1.0,
+                spread=0.3,
                 fails=False,
                 is_leaving=False,
                 renew=True,
--- a/trefoilstand/standins/target_service.py
+++ b/trefoilstand/standins/target_service.py
@@ -33,12 +33,15 @@
 
     :param service_ms: median time of the work.
     :param slow_factor: factor on that time.
+    :param spread: spread of that time, as a standard deviation of its
+        logarithm.
     :param fails: True where each request fails at once.
     :param is_leaving: True where the target says that it is leaving.
     """
 
     service_ms: float = 5.0
     slow_factor: float = 1.0
+    spread: float = 0.3
     fails: bool = False
     is_leaving: bool = False
 
@@ -128,7 +131,9 @@
         behaviour = self._behaviour
         median_s = behaviour.service_ms * behaviour.slow_factor / 1000
         if median_s > 0:
-            time.sleep(median_s * self._random.lognormvariate(0.0, 0.3))
+            time.sleep(
+                median_s * self._random.lognormvariate(0.0, behaviour.spread)
+            )
 
     def _report(self) -> werkzeug.Response:
         with self._lock:
