Make small texts of one service in one place

Ruled out: sharing with the texts of the fleet tests and of the capacity measurement; they have several services and other numbers.

--- a/trefoilstand/experiments/latency.py
+++ b/trefoilstand/experiments/latency.py
@@ -12,28 +12,13 @@
 from trefoilstand.experiments import raw_load
 from trefoilstand.standins import fleet
 from trefoilstand.standins import load
+from trefoilstand.standins import texts
 
 GOAL_MS: typing.Final = 0.74
 _VERSIONS: typing.Final = ("present", "earlier")
 _CALLERS: typing.Final = (1, 4, 16)
-_TEXT: typing.Final = """format_version = 1
-[measuring]
-fleet_probes_per_second = 40.0
-fleet_bytes_per_second = 40000.0
-target_probes_per_second = 4.0
-max_entry_processes = 8
-[services.quotes]
-[services.quotes.objective]
-answered_ratio = 0.999
-latency_ms = 100
-latency_ratio = 0.99
-"""
-_TARGET: typing.Final = """
-[[services.quotes.targets]]
-address = "127.51.1.{number}:9000"
-failure_domain = "a"
-slots = 16
-"""
+_TARGETS: typing.Final = ("127.51.1.1:9000", "127.51.1.2:9000")
+_TARGET_SLOTS: typing.Final = 16
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -134,7 +119,9 @@
     earlier_tree: str,
 ) -> list[Added]:
     """Return the medians over rounds that take turns."""
-    text = _TEXT + "".join(_TARGET.format(number=number) for number in (1, 2))
+    text = texts.make_text(
+        service="quotes", addresses=_TARGETS, slots=_TARGET_SLOTS
+    )
     plan = fleet.FleetPlan(
         text=text,
         network="127.50",
--- a/trefoilstand/experiments/queueing.py
+++ b/trefoilstand/experiments/queueing.py
@@ -19,25 +19,9 @@
 from trefoilstand.decision import engine
 from trefoilstand.decision import models
 from trefoilstand.decision import selection
+from trefoilstand.standins import texts
 
 _SERVICE: typing.Final = "work"
-_HEAD: typing.Final = """format_version = 1
-[measuring]
-fleet_probes_per_second = 1000.0
-fleet_bytes_per_second = 1000000.0
-target_probes_per_second = 100.0
-[services.work]
-[services.work.objective]
-answered_ratio = 0.999
-latency_ms = 100
-latency_ratio = 0.99
-"""
-_TARGET: typing.Final = """
-[[services.work.targets]]
-address = "127.0.0.{number}:9000"
-failure_domain = "a"
-slots = {slots}
-"""
 _FAILED_WORK_S: typing.Final = 0.0002
 
 
@@ -127,9 +111,11 @@
         policy: type[selection.SelectionPolicy],
         seed: int,
     ) -> None:
-        text = _HEAD + "".join(
-            _TARGET.format(number=number + 1, slots=scenario.slots)
-            for number in range(scenario.targets)
+        addresses = [
+            f"127.0.0.{number + 1}:9000" for number in range(scenario.targets)
+        ]
+        text = texts.make_text(
+            service=_SERVICE, addresses=addresses, slots=scenario.slots
         )
         content = loader.parse_configuration(source_name="x", text=text)
         self._engines = []
@@ -141,8 +127,7 @@
             made.load(content)
             self._engines.append(made)
         self._numbers = {
-            f"127.0.0.{number + 1}:9000": number
-            for number in range(scenario.targets)
+            address: number for number, address in enumerate(addresses)
         }
 
     def begin(
