Serve callers of the users' platform from one event loop

Cause: the thread edges cannot stop a target's work when a caller leaves, and nothing spoke the platform's protocol. Change: http/ (links and server over httptools), gateway/ (routing, probes at the moment of the choice, forwarding, retry budget, life cycle), fleet/ (replica, freshness, two readers, heartbeats by datagram, sync by grpclib), platform/ (settings, store, decoder, dialect, pages, daemon). Tests of the new packages, edges of the product's own interface on the same loop, metrics page: still to come.

--- /dev/null
+++ b/trefoilstand/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Spread what few hosts read from the store to all entry hosts."""
--- /dev/null
+++ b/trefoilstand/fleet/const.py
@@ -0,0 +1,49 @@
+"""Pace and limits of the spread of state between entry hosts."""
+
+import typing
+
+#: Pause between two heartbeats of a host; a member of a fleet of 13 is
+#: then asked for a sign of life about four times a second.
+HEARTBEAT_S: typing.Final = 0.25
+#: A heartbeat is repeated once after this time without an answer.
+REPLY_TIMEOUT_S: typing.Final = 0.12
+#: Members told at once of a change; all of them in fleets up to the limit.
+EAGER_FANOUT: typing.Final = 4
+SMALL_FLEET: typing.Final = 20
+#: Largest payload that fits one datagram without fragments.
+MAX_DATAGRAM_BYTES: typing.Final = 1300
+MAX_HEARTBEAT_MEMBERS: typing.Final = 6
+#: Time limit of one transfer of state between hosts.
+SYNC_TIMEOUT_S: typing.Final = 1.0
+#: Each so many heartbeats one goes to a seed, so that parts that lost each
+#: other meet again.
+SEED_EVERY: typing.Final = 8
+
+#: Hosts that read the store while all is well.
+READERS: typing.Final = 2
+#: How long one watch of the store may wait. It is also how soon a reader
+#: notices that its connection went silent.
+WATCH_WAIT_S: typing.Final = 1.0
+#: Extra time for the answer of a watch.
+WATCH_MARGIN_S: typing.Final = 0.5
+#: Time limit of a read.
+READ_TIMEOUT_S: typing.Final = 1.0
+#: Pause after a watch that brought changes, so that further changes come
+#: with the next one.
+BATCH_PAUSE_S: typing.Final = 0.1
+#: Age of the newest confirmation after which a host reads for itself. The
+#: sites allow 2 s from a change to its effect.
+STALE_S: typing.Final = 1.1
+#: Spread of that age over hosts, so that they do not all read at once.
+STALE_SPREAD_S: typing.Final = 0.4
+#: Pauses after failed reads grow from the first to the last of these.
+MIN_RETRY_S: typing.Final = 0.15
+MAX_RETRY_S: typing.Final = 1.5
+#: A starting host leaves the first reads to the seeds for this long.
+START_GRACE_S: typing.Final = 0.5
+
+#: Removals remembered for hosts that are behind.
+MAX_REMOVALS: typing.Final = 4096
+#: Entries that lapsed in an outage of the store are back within 2 s of its
+#: return, if their targets live.
+LAPSE_GRACE_S: typing.Final = 2.1
--- /dev/null
+++ b/trefoilstand/fleet/coordinator.py
@@ -0,0 +1,151 @@
+"""Read the store where needed and fan the changes out.
+
+A few hosts watch the store; all others hear of changes from them.  A host
+that has heard no confirmation for a while reads for itself, so that no
+change is late when the readers are cut off or die.
+"""
+
+import asyncio
+import random
+import time
+import typing
+
+from trefoilstand.fleet import const
+from trefoilstand.fleet import exchange
+from trefoilstand.fleet import freshness
+from trefoilstand.fleet import readers
+from trefoilstand.fleet import replica
+from trefoilstand.fleet import store as stores
+from trefoilstand.gateway import lifecycle
+from trefoilstand.peers import membership
+from trefoilstand.peers import models as peers_models
+from trefoilstand.telemetry import events
+
+_IDLE_CHECK_S: typing.Final = 0.1
+
+
+class StateCoordinator(lifecycle.Component):
+    """Fetch the state once for the fleet.
+
+    :param store: where the state is read from.
+    :param state: own copy of it.
+    :param age: how old that copy may be.
+    :param members: beliefs about the entry hosts.
+    :param peers: told of changes at once.
+    :param random_source: spreads retries.
+    :param is_seed: whether other hosts know this one from the start.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: stores.Store,
+        state: replica.Replica,
+        age: freshness.Freshness,
+        members: membership.MemberTable,
+        peers: exchange.PeerExchange,
+        random_source: random.Random,
+        is_seed: bool,
+    ) -> None:
+        self._store = store
+        self._state = state
+        self._age = age
+        self._members = members
+        self._peers = peers
+        self._random = random_source
+        self._is_seed = is_seed
+        self._started_s = time.monotonic()
+        self._failures = 0
+        self._needs_snapshot = False
+        self._task: asyncio.Task[None] | None = None
+        self.outage_seen_s: float | None = None
+
+    async def start(self) -> None:
+        """Begin to read."""
+        self._task = asyncio.get_running_loop().create_task(self._repeat())
+
+    async def stop(self) -> None:
+        """End the reading."""
+        if self._task is not None:
+            self._task.cancel()
+        self._store.close()
+
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this host reads for the fleet."""
+        own = self._members.own
+        alive = [
+            member
+            for member in (own, *self._members.live())
+            if member.state is peers_models.MemberState.ALIVE
+        ]
+        return own.peer_address in readers.choose_readers(alive)
+
+    def _should_read(self, now_s: float) -> bool:
+        is_starting = now_s - self._started_s < const.START_GRACE_S
+        if not self._state.revision:
+            return self._is_seed or not is_starting
+        return self.is_reader or self._age.is_stale(now_s)
+
+    async def _repeat(self) -> None:
+        while True:
+            now_s = time.monotonic()
+            if not self._should_read(now_s):
+                await asyncio.sleep(_IDLE_CHECK_S)
+                continue
+            try:
+                has_moved = await self._read_once()
+            except stores.HistoryLostError:
+                self._needs_snapshot = True
+                events.warning(
+                    events.StoreHistoryLost(revision=self._state.revision)
+                )
+                continue
+            except stores.StoreError as error:
+                await self._note_failure(error)
+                continue
+            self._note_success()
+            if has_moved:
+                self._peers.announce()
+                await asyncio.sleep(const.BATCH_PAUSE_S)
+
+    async def _read_once(self) -> bool:
+        """Read a snapshot or wait for changes; return whether any came."""
+        asked_s = time.monotonic()
+        if self._needs_snapshot or not self._state.revision:
+            delta = await self._store.read_all()
+            self._needs_snapshot = False
+        else:
+            wait_s = const.WATCH_WAIT_S if self.is_reader else 0.0
+            delta = await self._store.watch(self._state.revision, wait_s)
+            asked_s = time.monotonic()
+        has_moved = self._state.apply(delta)
+        self._age.confirm(asked_s)
+        return has_moved
+
+    async def _note_failure(self, error: stores.StoreError) -> None:
+        if not self._failures:
+            events.warning(
+                events.DependencyLost(
+                    dependency="store",
+                    error_type=type(error).__name__,
+                    detail=str(error),
+                )
+            )
+        self._failures += 1
+        self.outage_seen_s = time.monotonic()
+        pause_s = min(
+            const.MIN_RETRY_S * 2 ** min(self._failures - 1, 8),
+            const.MAX_RETRY_S,
+        )
+        await asyncio.sleep(pause_s * (0.75 + 0.5 * self._random.random()))
+
+    def _note_success(self) -> None:
+        if self._failures:
+            events.info(
+                events.DependencyRegained(
+                    dependency="store", failures=self._failures
+                )
+            )
+            self.outage_seen_s = time.monotonic()
+        self._failures = 0
--- /dev/null
+++ b/trefoilstand/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Routing of callers' requests on one event loop."""
--- /dev/null
+++ b/trefoilstand/gateway/application.py
@@ -0,0 +1,301 @@
+"""The gateway's application object: wiring, ticks and life cycle."""
+
+import asyncio
+import enum
+import random
+import secrets
+import time
+import typing
+
+from trefoilstand.fleet import coordinator
+from trefoilstand.fleet import exchange
+from trefoilstand.fleet import freshness
+from trefoilstand.fleet import gossip
+from trefoilstand.fleet import models as fleet_models
+from trefoilstand.fleet import replica
+from trefoilstand.fleet import store as stores
+from trefoilstand.gateway import dialect as dialects
+from trefoilstand.gateway import directory
+from trefoilstand.gateway import forwarding
+from trefoilstand.gateway import lifecycle
+from trefoilstand.gateway import models
+from trefoilstand.gateway import pool
+from trefoilstand.gateway import prediction
+from trefoilstand.gateway import retry_budget
+from trefoilstand.gateway import scout
+from trefoilstand.gateway import settings as gateway_settings
+from trefoilstand.gateway import state
+from trefoilstand.http import server
+from trefoilstand.peers import membership
+from trefoilstand.peers import models as peers_models
+from trefoilstand.telemetry import events
+from trefoilstand.util import clock as clocks
+from trefoilstand.util import token_bucket
+
+_TICK_S: typing.Final = 0.1
+#: A tick that is later than this means that the process stood still.
+_MAX_TICK_GAP_S: typing.Final = 1.0
+#: Connections that wait to be accepted.
+_BACKLOG: typing.Final = 512
+#: Time for which a leaving host accepts new connections, so that callers
+#: with older answers still reach it.
+_LEAVE_ACCEPT_S: typing.Final = 3.0
+#: Left of the grace period when the process ends at the latest.
+_GRACE_MARGIN_S: typing.Final = 0.3
+#: Share of the probes that targets allow which the fleet spends.
+_PROBE_SHARE: typing.Final = 0.8
+_PROBE_BURST_S: typing.Final = 3.0
+
+
+class Phase(enum.StrEnum):
+    """Position of a process in its life."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+    STOPPED = "stopped"
+
+
+class Gateway:
+    """Own the components of one entry host.
+
+    :param settings: checked settings of the process.
+    :param store: where configuration and targets are read.
+    :param decoder: reads the store's items.
+    :param dialect: names on the wire.
+    :param random_source: source of random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: gateway_settings.GatewaySettings,
+        store: stores.Store,
+        decoder: state.ItemDecoder,
+        dialect: dialects.Dialect,
+        random_source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._random = random_source
+        self.phase = Phase.STARTING
+        self.links = pool.LinkPool(local_ip=settings.caller_endpoint.ip)
+        self.state = state.GatewayState(
+            decoder=decoder,
+            links=self.links,
+            retry_terms=retry_budget.BudgetTerms(
+                ratio=settings.retry_ratio,
+                allowance=settings.retry_allowance,
+                window_s=settings.retry_window_s,
+            ),
+            random_source=random_source,
+        )
+        self._build_fleet(store)
+        self._build_edges(dialect)
+        self._last_tick_s = time.monotonic()
+        self._suspended_s = _suspended_s()
+        self._stop_requested = asyncio.Event()
+        self._leaving_since_s: float | None = None
+
+    def _build_fleet(self, store: stores.Store) -> None:
+        settings = self._settings
+        self.members = membership.MemberTable(
+            own=peers_models.Member(
+                peer_address=str(settings.peer_endpoint),
+                caller_address=str(settings.caller_endpoint),
+                failure_domain=settings.failure_domain,
+                process_id=secrets.token_hex(8),
+                incarnation=time.time_ns() // 1_000_000,
+            ),
+            random_source=self._random,
+            clock=clocks.MonotonicClock(),
+        )
+        self.replica = replica.Replica()
+        self.age = freshness.Freshness(random_source=self._random)
+        self.peers = exchange.PeerExchange(
+            members=self.members,
+            messages=gossip.Gossip(
+                members=self.members, state=self.replica, age=self.age
+            ),
+            state=self.replica,
+            random_source=self._random,
+        )
+        self.peers.set_seeds(settings.seeds)
+        self.reader = coordinator.StateCoordinator(
+            store=store,
+            state=self.replica,
+            age=self.age,
+            members=self.members,
+            peers=self.peers,
+            random_source=self._random,
+            is_seed=str(settings.peer_endpoint) in settings.seeds,
+        )
+        self.replica.add_listener(self._take_items)
+
+    def _build_edges(self, dialect: dialects.Dialect) -> None:
+        self.directory = directory.Directory(
+            members=self.members, random_source=self._random
+        )
+        estimator = prediction.WorkEstimator()
+        self._probe_budget = token_bucket.TokenBucket(
+            rate_per_s=0.0, burst=0.0
+        )
+        self.scout = scout.Scout(
+            table=self.state.targets,
+            links=self.links,
+            dialect=dialect,
+            estimator=estimator,
+            budget=self._probe_budget,
+            random_source=self._random,
+            own_domain=self._settings.failure_domain,
+        )
+        self.forwarder = forwarding.Forwarder(
+            current=self.state,
+            finder=self.scout,
+            links=self.links,
+            dialect=dialect,
+            estimator=estimator,
+            random_source=self._random,
+        )
+        self.caller_server = server.Server(handler=self.forwarder)
+        self.state.on_configuration.append(self._take_configuration)
+        self._pages: list[tuple[gateway_settings.Endpoint, server.Server]] = []
+
+    def add_page(
+        self,
+        endpoint: gateway_settings.Endpoint,
+        handler: server.RequestHandler,
+    ) -> None:
+        """Serve a page of an adapter on an address of its own."""
+        self._pages.append((endpoint, server.Server(handler=handler)))
+
+    @property
+    def _components(self) -> list[lifecycle.Component]:
+        return [self.peers, self.reader]
+
+    async def run(self) -> None:
+        """Start, tick until the end is requested, and stop.
+
+        :raises OSError: an address cannot be served.
+        """
+        events.info(
+            events.ProcessStarted(
+                host=self._settings.host_name,
+                failure_domain=self._settings.failure_domain,
+                process_id=self.members.own.process_id,
+            )
+        )
+        for component in self._components:
+            await component.start()
+        listening = [
+            *self._pages,
+            (self._settings.caller_endpoint, self.caller_server),
+        ]
+        for endpoint, page in listening:
+            await page.start(
+                ip=endpoint.ip, port=endpoint.port, backlog=_BACKLOG
+            )
+        while not self._stop_requested.is_set():
+            self._tick()
+            await asyncio.sleep(_TICK_S)
+        await self._stop()
+
+    def request_leave(self) -> None:
+        """Leave: stop being named, serve on, then end."""
+        if self.phase is Phase.LEAVING:
+            return
+        self._set_phase(Phase.LEAVING, "requested")
+        self._leaving_since_s = time.monotonic()
+        self.directory.is_own_ready = False
+        self.caller_server.is_draining = True
+        for component in self._components:
+            component.leave()
+
+    def update_settings(
+        self, settings: gateway_settings.GatewaySettings
+    ) -> None:
+        """Take over settings that may change while the process runs."""
+        self._settings = settings
+        self.peers.set_seeds(settings.seeds)
+        self.state.retry_terms = retry_budget.BudgetTerms(
+            ratio=settings.retry_ratio,
+            allowance=settings.retry_allowance,
+            window_s=settings.retry_window_s,
+        )
+
+    def _take_items(self, items: list[fleet_models.Item]) -> None:
+        self.state.take_items(items)
+
+    def _take_configuration(self, found: models.GatewayConfiguration) -> None:
+        self.caller_server.limits = found.limits
+        self.scout.health_paths = {
+            name: policy.health_path for name, policy in found.services.items()
+        }
+
+    def _tick(self) -> None:
+        now_s = time.monotonic()
+        self._notice_gap(now_s)
+        self.state.hosts = len(self.members.live()) + 1
+        self.state.tick(now_s, self.reader)
+        self.links.expire()
+        self._set_probe_rate()
+        if self.phase is Phase.STARTING and self.state.configuration:
+            self._set_phase(Phase.READY, "state received")
+            self.directory.is_own_ready = True
+        if self.phase is Phase.LEAVING:
+            self._tick_leaving(now_s)
+        events.flush()
+
+    def _notice_gap(self, now_s: float) -> None:
+        """Distrust the own state after the process stood still."""
+        suspended_s = _suspended_s()
+        gap_s = now_s - self._last_tick_s
+        gap_s += suspended_s - self._suspended_s
+        self._last_tick_s = now_s
+        self._suspended_s = suspended_s
+        if gap_s <= _MAX_TICK_GAP_S:
+            return
+        self.age.invalidate()
+        self.members.refresh(now_s)
+        events.warning(events.ProcessPaused(gap_s=round(gap_s, 3)))
+
+    def _set_probe_rate(self) -> None:
+        rate = (
+            self._settings.probes_per_target_s
+            * len(self.state.targets)
+            * _PROBE_SHARE
+            / self.state.hosts
+        )
+        self._probe_budget.set_rate(
+            rate_per_s=rate, burst=rate * _PROBE_BURST_S
+        )
+
+    def _tick_leaving(self, now_s: float) -> None:
+        since_s = self._leaving_since_s or now_s
+        waited_s = now_s - since_s
+        is_over = waited_s >= self._settings.grace_s - _GRACE_MARGIN_S
+        if waited_s >= _LEAVE_ACCEPT_S:
+            self.caller_server.stop_listening()
+            self.caller_server.close_idle()
+            is_over = is_over or not self.caller_server.connections
+        if is_over:
+            self._stop_requested.set()
+
+    async def _stop(self) -> None:
+        cut = self.forwarder.in_progress
+        for component in reversed(self._components):
+            await component.stop()
+        for _, page in self._pages:
+            page.stop_listening()
+        self.links.close()
+        self._set_phase(Phase.STOPPED, "end of run")
+        events.info(events.ProcessStopped(cause="leave", requests_cut=cut))
+        events.flush()
+
+    def _set_phase(self, phase: Phase, cause: str) -> None:
+        self.phase = phase
+        events.info(events.PhaseChanged(phase=phase, cause=cause))
+
+
+def _suspended_s() -> float:
+    """Return for how long the machine has been suspended in all."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- /dev/null
+++ b/trefoilstand/gateway/retry_budget.py
@@ -0,0 +1,65 @@
+"""Keep repeated sends of a whole fleet inside a budget.
+
+Each host spends only what its own requests earn, plus its part of the
+fixed allowance, so that the sum over all hosts keeps the budget without any
+message between them.
+"""
+
+import collections
+import dataclasses
+import typing
+
+#: Share of the budget that is spent; the rest covers requests that are
+#: counted in another window than their repeats.
+_SAFETY_RATIO: typing.Final = 0.6
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BudgetTerms:
+    """State the budget of one service over all hosts.
+
+    :param ratio: repeats for each request.
+    :param allowance: repeats beyond the ratio in one window.
+    :param window_s: length of the sliding window.
+    """
+
+    ratio: float
+    allowance: float
+    window_s: float
+
+
+class FleetRetryBudget:
+    """Count requests and repeats of one service in a sliding window.
+
+    :param terms: budget of the whole fleet.
+    """
+
+    def __init__(self, *, terms: BudgetTerms) -> None:
+        self._terms = terms
+        self._requests: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    def record_request(self, now_s: float) -> None:
+        """Count a first send."""
+        self._requests.append(now_s)
+        self._expire(now_s)
+
+    def take(self, now_s: float, hosts: int) -> bool:
+        """Spend one repeat and return whether there was one.
+
+        :param now_s: monotonic time.
+        :param hosts: hosts that share the fixed allowance.
+        """
+        self._expire(now_s)
+        earned = self._terms.ratio * len(self._requests)
+        earned += self._terms.allowance / max(hosts, 1)
+        if len(self._repeats) + 1 > earned * _SAFETY_RATIO:
+            return False
+        self._repeats.append(now_s)
+        return True
+
+    def _expire(self, now_s: float) -> None:
+        oldest_s = now_s - self._terms.window_s
+        for times in (self._requests, self._repeats):
+            while times and times[0] < oldest_s:
+                times.popleft()
--- /dev/null
+++ b/trefoilstand/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP over one event loop: connections without decisions."""
--- a/trefoilstand/peers/peer_grpc.py
+++ b/trefoilstand/peers/peer_grpc.py
@@ -12,6 +12,34 @@
 import trefoilstand.peers.peer_pb2
 
 
+class StateBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Sync(self, stream: 'grpclib.server.Stream[trefoilstand.peers.peer_pb2.SyncRequest, trefoilstand.peers.peer_pb2.StateDelta]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/trefoilstand.peers.State/Sync': grpclib.const.Handler(
+                self.Sync,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                trefoilstand.peers.peer_pb2.SyncRequest,
+                trefoilstand.peers.peer_pb2.StateDelta,
+            ),
+        }
+
+
+class StateStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Sync = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/trefoilstand.peers.State/Sync',
+            trefoilstand.peers.peer_pb2.SyncRequest,
+            trefoilstand.peers.peer_pb2.StateDelta,
+        )
+
+
 class PeerBase(abc.ABC):
 
     @abc.abstractmethod
