--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -15,6 +15,8 @@
 MAX_HEARTBEAT_MEMBERS: typing.Final = 6
 #: Time limit of one transfer of state between hosts.
 SYNC_TIMEOUT_S: typing.Final = 1.0
+#: A starting host serves transfers of state after this delay.
+TRANSFER_DELAY_S: typing.Final = 0.3
 #: Each so many heartbeats one goes to a seed, so that parts that lost each
 #: other meet again.
 SEED_EVERY: typing.Final = 8
@@ -39,7 +41,8 @@
 #: Pauses after failed reads grow from the first to the last of these.
 MIN_RETRY_S: typing.Final = 0.15
 MAX_RETRY_S: typing.Final = 1.5
-#: A starting host leaves the first reads to the seeds for this long.
+#: When the whole fleet starts for the first time, hosts leave the first
+#: reads to the seeds for this long.
 START_GRACE_S: typing.Final = 0.5
 
 #: Removals remembered for hosts that are behind.
--- a/trefoilstand/fleet/coordinator.py
+++ b/trefoilstand/fleet/coordinator.py
@@ -33,7 +33,7 @@
     :param members: beliefs about the entry hosts.
     :param peers: told of changes at once.
     :param random_source: spreads retries.
-    :param is_seed: whether other hosts know this one from the start.
+    :param reads_at_once: whether the first read waits for nobody.
     """
 
     def __init__(
@@ -45,7 +45,7 @@
         members: membership.MemberTable,
         peers: exchange.PeerExchange,
         random_source: random.Random,
-        is_seed: bool,
+        reads_at_once: bool,
     ) -> None:
         self._store = store
         self._state = state
@@ -53,7 +53,7 @@
         self._members = members
         self._peers = peers
         self._random = random_source
-        self._is_seed = is_seed
+        self._reads_at_once = reads_at_once
         self._started_s = time.monotonic()
         self._failures = 0
         self._needs_snapshot = False
@@ -84,7 +84,7 @@
     def _should_read(self, now_s: float) -> bool:
         is_starting = now_s - self._started_s < const.START_GRACE_S
         if not self._state.revision:
-            return self._is_seed or not is_starting
+            return self._reads_at_once or not is_starting
         return self.is_reader or self._age.is_stale(now_s)
 
     async def _repeat(self) -> None:
--- a/trefoilstand/fleet/exchange.py
+++ b/trefoilstand/fleet/exchange.py
@@ -7,52 +7,18 @@
 import typing
 
 import google.protobuf.message
-import grpclib.client
-import grpclib.exceptions
-import grpclib.server
 
-from trefoilstand.fleet import codec
 from trefoilstand.fleet import const
 from trefoilstand.fleet import gossip
 from trefoilstand.fleet import replica
 from trefoilstand.gateway import lifecycle
 from trefoilstand.peers import membership
 from trefoilstand.peers import models as peers_models
-from trefoilstand.peers import peer_grpc
-from trefoilstand.peers import peer_pb2
 from trefoilstand.telemetry import events
 from trefoilstand.util import address as addresses
 
-_SYNC_FAILURES: typing.Final = (
-    OSError,
-    TimeoutError,
-    grpclib.exceptions.GRPCError,
-    grpclib.exceptions.ProtocolError,
-    grpclib.exceptions.StreamTerminatedError,
-)
-
-
-class StateService(peer_grpc.StateBase):
-    """Answer peers that lack changes.
-
-    :param state: own copy of the store.
-    """
-
-    def __init__(self, *, state: replica.Replica) -> None:
-        self._state = state
-
-    async def Sync(  # noqa: N802
-        self,
-        stream: grpclib.server.Stream[
-            peer_pb2.SyncRequest, peer_pb2.StateDelta
-        ],
-    ) -> None:
-        """Send what the peer lacks."""
-        request = await stream.recv_message()
-        if request is None:
-            return
-        delta = self._state.changes_since(request.after_revision)
-        await stream.send_message(codec.encode_delta(delta))
+if typing.TYPE_CHECKING:
+    from trefoilstand.fleet import sync
 
 
 class PeerExchange(lifecycle.Component, asyncio.DatagramProtocol):
@@ -78,7 +44,7 @@
         self._random = random_source
         self._seeds: tuple[str, ...] = ()
         self._transport: asyncio.DatagramTransport | None = None
-        self._server: grpclib.server.Server | None = None
+        self._transfer: sync.StateTransfer | None = None
         self._round_task: asyncio.Task[None] | None = None
         self._sync_task: asyncio.Task[None] | None = None
         self._awaited: dict[str, float] = {}
@@ -98,8 +64,6 @@
         """
         own = addresses.parse_address(self._members.own.peer_address)
         loop = asyncio.get_running_loop()
-        self._server = grpclib.server.Server([StateService(state=self._state)])
-        await self._server.start(own.ip, own.port)
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=(own.ip, own.port)
         )
@@ -119,8 +83,8 @@
                 task.cancel()
         if self._transport is not None:
             self._transport.close()
-        if self._server is not None:
-            self._server.close()
+        if self._transfer is not None:
+            self._transfer.close()
 
     def announce(self) -> None:
         """Tell some members at once of new state."""
@@ -164,7 +128,24 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore a refused datagram; the missing answer tells the same."""
 
+    async def _load_transfer(self) -> "sync.StateTransfer":
+        """Begin to serve transfers of state.
+
+        The library is loaded here, since a starting process serves its
+        callers some 50 ms sooner without it.
+        """
+        if self._transfer is None:
+            from trefoilstand.fleet import sync
+
+            own = addresses.parse_address(self._members.own.peer_address)
+            transfer = sync.StateTransfer(state=self._state)
+            self._transfer = transfer
+            await transfer.start(own.ip, own.port)
+        return self._transfer
+
     async def _repeat_rounds(self) -> None:
+        await asyncio.sleep(const.TRANSFER_DELAY_S)
+        await self._load_transfer()
         while True:
             await asyncio.sleep(
                 const.HEARTBEAT_S * (0.75 + 0.5 * self._random.random())
@@ -221,22 +202,8 @@
 
     async def _sync(self, address: str) -> None:
         """Fetch what a peer has beyond the own state."""
-        endpoint = addresses.parse_address(address)
-        channel = grpclib.client.Channel(endpoint.ip, endpoint.port)
+        transfer = await self._load_transfer()
         self.syncs += 1
-        try:
-            async with asyncio.timeout(const.SYNC_TIMEOUT_S):
-                message = await peer_grpc.StateStub(channel).Sync(
-                    peer_pb2.SyncRequest(after_revision=self._state.revision)
-                )
-        except _SYNC_FAILURES as error:
-            events.warning(
-                events.SyncFailed(
-                    peer=address, error_type=type(error).__name__
-                )
-            )
-            return
-        finally:
-            channel.close()
-        if self._state.apply(codec.decode_delta(message)):
+        delta = await transfer.fetch(address)
+        if delta is not None and self._state.apply(delta):
             self.announce()
--- a/trefoilstand/fleet/gossip.py
+++ b/trefoilstand/fleet/gossip.py
@@ -6,7 +6,7 @@
 from trefoilstand.fleet import const
 from trefoilstand.fleet import freshness
 from trefoilstand.fleet import replica
-from trefoilstand.peers import codec as peers_codec
+from trefoilstand.peers import member_codec
 from trefoilstand.peers import membership
 from trefoilstand.peers import peer_pb2
 
@@ -60,9 +60,9 @@
         """
         age_ms = min(self._age.age_s(now_s) * _MS_PER_S, _UNCONFIRMED_MS)
         message = peer_pb2.Heartbeat(
-            sender=peers_codec.encode_member(self._members.own),
+            sender=member_codec.encode_member(self._members.own),
             members=[
-                peers_codec.encode_member(member)
+                member_codec.encode_member(member)
                 for member in self._members.updates()[
                     : const.MAX_HEARTBEAT_MEMBERS
                 ]
@@ -88,11 +88,11 @@
         :raises google.protobuf.message.DecodeError: it is malformed.
         """
         message = peer_pb2.Heartbeat.FromString(data)
-        sender = peers_codec.decode_member(message.sender)
+        sender = member_codec.decode_member(message.sender)
         if sender is None:
             return News(sender=""), False
         for update in message.members:
-            member = peers_codec.decode_member(update)
+            member = member_codec.decode_member(update)
             if member is not None:
                 self._members.apply(member, now_s)
         self._members.confirm(sender, now_s)
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -127,7 +127,8 @@
             members=self.members,
             peers=self.peers,
             random_source=self._random,
-            is_seed=str(settings.peer_endpoint) in settings.seeds,
+            reads_at_once=not settings.is_first_start
+            or str(settings.peer_endpoint) in settings.seeds,
         )
         self.replica.add_listener(self._take_items)
 
@@ -184,16 +185,16 @@
                 process_id=self.members.own.process_id,
             )
         )
-        for component in self._components:
-            await component.start()
         listening = [
-            *self._pages,
             (self._settings.caller_endpoint, self.caller_server),
+            *self._pages,
         ]
         for endpoint, page in listening:
             await page.start(
                 ip=endpoint.ip, port=endpoint.port, backlog=_BACKLOG
             )
+        for component in self._components:
+            await component.start()
         while not self._stop_requested.is_set():
             self._tick()
             await asyncio.sleep(_TICK_S)
@@ -224,6 +225,9 @@
 
     def _take_items(self, items: list[fleet_models.Item]) -> None:
         self.state.take_items(items)
+        if self.phase is Phase.STARTING and self.state.configuration:
+            self._set_phase(Phase.READY, "state received")
+            self.directory.is_own_ready = True
 
     def _take_configuration(self, found: models.GatewayConfiguration) -> None:
         self.caller_server.limits = found.limits
@@ -238,9 +242,6 @@
         self.state.tick(now_s, self.reader)
         self.links.expire()
         self._set_probe_rate()
-        if self.phase is Phase.STARTING and self.state.configuration:
-            self._set_phase(Phase.READY, "state received")
-            self.directory.is_own_ready = True
         if self.phase is Phase.LEAVING:
             self._tick_leaving(now_s)
         events.flush()
--- a/trefoilstand/gateway/const.py
+++ b/trefoilstand/gateway/const.py
@@ -70,3 +70,6 @@
 #: Time after which a rejected caller may return.
 RETRY_AFTER_BUSY_S: typing.Final = 0.1
 RETRY_AFTER_UNREADY_S: typing.Final = 0.2
+#: Requests that reach a starting host wait this long for its state, which
+#: is one read of some milliseconds away.
+START_HOLD_S: typing.Final = 0.1
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -105,6 +105,8 @@
             self.in_progress -= 1
 
     async def _handle(self, request: http_models.Request) -> server.Answer:
+        if self._state.routes is None:
+            await self._wait_for_state()
         if self._state.routes is None:
             return self._refuse(request, models.Refusal.NO_CONFIGURATION)
         host = (request.find(b"host") or b"").decode("latin-1")
@@ -123,6 +125,14 @@
         self._log(call, answer)
         return answer
 
+    async def _wait_for_state(self) -> None:
+        """Wait a little for the first state of a starting process."""
+        try:
+            async with asyncio.timeout(const.START_HOLD_S):
+                await self._state.is_loaded.wait()
+        except TimeoutError:
+            return
+
     def _time_allowed_s(
         self, request: http_models.Request, route: models.Route
     ) -> float:
--- a/trefoilstand/gateway/settings.py
+++ b/trefoilstand/gateway/settings.py
@@ -31,6 +31,8 @@
     :param metrics_endpoint: where metrics are served.
     :param seeds: peer addresses of hosts to join.
     :param store_endpoint: where the store is read.
+    :param is_first_start: whether the whole fleet starts for the first
+        time, with no callers waiting.
     :param drain_s: time after which a leaving target gets nothing new.
     :param grace_s: time from SIGTERM to SIGKILL.
     :param answer_lifetime_s: how long callers may keep addresses.
@@ -49,6 +51,7 @@
     metrics_endpoint: Endpoint
     seeds: tuple[str, ...]
     store_endpoint: Endpoint
+    is_first_start: bool
     drain_s: float
     grace_s: float
     answer_lifetime_s: float
--- a/trefoilstand/gateway/state.py
+++ b/trefoilstand/gateway/state.py
@@ -1,6 +1,7 @@
 """Configuration and targets that are in force on this host."""
 
 import abc
+import asyncio
 import random
 import time
 import typing
@@ -69,6 +70,7 @@
         self.routes: routing.RouteTable | None = None
         self.splits = routing.SplitBalancer(random_source=random_source)
         self.hosts = 1
+        self.is_loaded = asyncio.Event()
         self.on_configuration: list[
             typing.Callable[[models.GatewayConfiguration], None]
         ] = []
@@ -103,6 +105,8 @@
                 self.registry.set(record)
         if has_targets:
             self._apply_targets(now_s)
+        if self.configuration is not None:
+            self.is_loaded.set()
 
     def tick(self, now_s: float, reader: coordinator.StateCoordinator) -> None:
         """Expire what is too old."""
--- a/trefoilstand/peers/gossip.py
+++ b/trefoilstand/peers/gossip.py
@@ -5,8 +5,8 @@
 
 from trefoilstand.configuration import coordinator
 from trefoilstand.decision import engine
-from trefoilstand.peers import codec
 from trefoilstand.peers import const
+from trefoilstand.peers import member_codec
 from trefoilstand.peers import membership
 from trefoilstand.peers import peer_pb2
 from trefoilstand.peers import reports
@@ -51,9 +51,9 @@
         now_s = self._clock.now_s()
         version, digest = self._configurations.order_key
         return peer_pb2.Gossip(
-            sender=codec.encode_member(self._members.own),
+            sender=member_codec.encode_member(self._members.own),
             members=[
-                codec.encode_member(member)
+                member_codec.encode_member(member)
                 for member in self._members.updates()
             ],
             configuration_version=version,
@@ -91,11 +91,11 @@
 
         :returns: True where the sender has a newer configuration.
         """
-        sender = codec.decode_member(message.sender)
+        sender = member_codec.decode_member(message.sender)
         if sender is None:
             return False
         for update in message.members[: const.MAX_GOSSIP_MEMBERS]:
-            member = codec.decode_member(update)
+            member = member_codec.decode_member(update)
             if member is not None:
                 self._members.apply(member, now_s)
         self._members.confirm(sender, now_s)
--- a/trefoilstand/platform/settings.py
+++ b/trefoilstand/platform/settings.py
@@ -57,6 +57,7 @@
         ),
         seeds=seeds,
         store_endpoint=_endpoint(raw["platform"]["address"]),
+        is_first_start=bool(raw.get("bootstrap")),
         drain_s=values.parse_seconds(bounds.get("drain", "2s")),
         grace_s=values.parse_seconds(bounds.get("grace", "6s")),
         answer_lifetime_s=ttl_max_s * _ANSWER_LIFETIME_SHARE,
