Wait for room at the entry host instead of at nearly full targets

Ruled out: the slowdown near full is not in the load header (it stays 100). Change: the predictor learns the slowdown near full for each service and limits the room; requests without room wait at the host by priority and slack, answers hand their target on; slow targets are not used while the objective can be met elsewhere; near targets first; two probes, then three; probe budget of the fleet; second sends as late as they still pay.

--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -21,6 +21,7 @@
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
+from trefoilstand.gateway import probing
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import scout
 from trefoilstand.gateway import settings as gateway_settings
@@ -41,7 +42,7 @@
 #: with older answers still reach it.
 _LEAVE_ACCEPT_S: typing.Final = 3.0
 #: Left of the grace period when the process ends at the latest.
-_GRACE_MARGIN_S: typing.Final = 0.3
+_GRACE_MARGIN_S: typing.Final = 1.0
 #: Share of the probes that targets allow which the fleet spends.
 _PROBE_SHARE: typing.Final = 0.8
 _PROBE_BURST_S: typing.Final = 3.0
@@ -136,15 +137,16 @@
         self.directory = directory.Directory(
             members=self.members, random_source=self._random
         )
-        estimator = prediction.WorkEstimator()
+        predictor = prediction.Predictor()
+        self.prober = probing.Prober(links=self.links, dialect=dialect)
         self._probe_budget = token_bucket.TokenBucket(
             rate_per_s=0.0, burst=0.0
         )
         self.scout = scout.Scout(
             table=self.state.targets,
             links=self.links,
-            dialect=dialect,
-            estimator=estimator,
+            prober=self.prober,
+            predictor=predictor,
             budget=self._probe_budget,
             random_source=self._random,
             own_domain=self._settings.failure_domain,
@@ -154,7 +156,7 @@
             finder=self.scout,
             links=self.links,
             dialect=dialect,
-            estimator=estimator,
+            predictor=predictor,
             random_source=self._random,
         )
         self.caller_server = server.Server(handler=self.forwarder)
@@ -231,7 +233,7 @@
 
     def _take_configuration(self, found: models.GatewayConfiguration) -> None:
         self.caller_server.limits = found.limits
-        self.scout.health_paths = {
+        self.prober.health_paths = {
             name: policy.health_path for name, policy in found.services.items()
         }
 
--- a/trefoilstand/gateway/const.py
+++ b/trefoilstand/gateway/const.py
@@ -2,37 +2,34 @@
 
 import typing
 
-#: Slowdowns by noisy neighbours last about this long (users' sites flip
-#: their noise every 500 ms, so half of that is left on average).
-SLOWDOWN_PERSISTENCE_S: typing.Final = 0.25
-#: Slowdown assumed once the present one is over.
-TYPICAL_SLOWDOWN: typing.Final = 1.3
+#: Time that a slowdown by noisy neighbours is expected to go on; slow spells
+#: of 0.5 to 1.5 s were seen on the users' sites.
+SLOWDOWN_PERSISTENCE_S: typing.Final = 0.4
+#: Slowdown assumed once the present one is over, and of targets of which
+#: nothing recent is known.
+TYPICAL_SLOWDOWN: typing.Final = 1.4
 #: Slowdown assumed of a target that warms up; twice is stated by sites.
 WARMUP_SLOWDOWN: typing.Final = 1.6
 #: Targets slow down when nearly full; usual share of busy slots for that.
 KNEE_SHARE: typing.Final = 0.8
-#: Factor on working time beyond the knee.
+#: Learned slowdown of nearly full targets from which they are not filled.
 KNEE_SLOWDOWN: typing.Final = 1.25
 #: Share of the objective taken as working time before any answer came.
 PRIOR_WORK_SHARE: typing.Final = 0.35
 #: Weight of a new observation in the moving mean of working times.
 WORK_WEIGHT: typing.Final = 0.05
-#: Cost of leaving the own failure domain, as a share of the working time.
-DISTANCE_WORK_SHARE: typing.Final = 0.3
 #: Predictions within this factor of the best one count as equal.
 EQUAL_PREDICTION: typing.Final = 1.1
 
 #: Targets asked for their load in the first round, and in each later one.
-FIRST_ROUND_PROBES: typing.Final = 3
-LATER_ROUND_PROBES: typing.Final = 4
-#: Most targets asked for one request.
-MAX_PROBES: typing.Final = 12
+FIRST_ROUND_PROBES: typing.Final = 2
+LATER_ROUND_PROBES: typing.Final = 3
+#: Most near targets asked for one request, and most far ones.
+MAX_PROBES: typing.Final = 6
 #: Longest wait for the answers of one round; a probe takes 1 to 4 ms.
 ROUND_TIMEOUT_S: typing.Final = 0.02
 #: A probe without an answer by then counts as a failure.
 PROBE_TIMEOUT_S: typing.Final = 0.25
-#: Share of the objective within which a prediction ends the search.
-SATISFYING_SHARE: typing.Final = 0.7
 #: A report that is older says nothing on its own (noise flips at 500 ms).
 REPORT_LIFETIME_S: typing.Final = 0.5
 
@@ -56,20 +53,52 @@
 #: Weight of one outcome in the error rate, and its half-life.
 ERROR_WEIGHT: typing.Final = 0.2
 ERROR_HALF_LIFE_S: typing.Final = 3.0
-#: What a certain error costs in a score, in objectives.
-ERROR_COST_OBJECTIVES: typing.Final = 3.0
 
-#: A second send starts when the first takes this much longer than
-#: predicted.
-HEDGE_FACTOR: typing.Final = 1.6
-#: Shortest delay of a second send, as a share of the objective.
-HEDGE_MIN_OBJECTIVE_SHARE: typing.Final = 0.45
+#: A second send starts as late as it still meets the objective, but not
+#: before the first takes this much longer than predicted.
+HEDGE_FACTOR: typing.Final = 1.15
 
 #: Part of the remaining time below which no further attempt starts.
 MIN_ATTEMPT_S: typing.Final = 0.005
 #: Time after which a rejected caller may return.
-RETRY_AFTER_BUSY_S: typing.Final = 0.1
+MIN_RETRY_AFTER_S: typing.Final = 0.08
+MAX_RETRY_AFTER_S: typing.Final = 0.6
 RETRY_AFTER_UNREADY_S: typing.Final = 0.2
 #: Requests that reach a starting host wait this long for its state, which
 #: is one read of some milliseconds away.
 START_HOLD_S: typing.Final = 0.1
+
+#: Slowdown up to which a target counts as running at its usual pace.
+USUAL_SLOWDOWN: typing.Final = 1.05
+#: Weight of one duration in the learned slowdown of nearly full targets.
+KNEE_WEIGHT: typing.Final = 0.05
+#: A single duration counts at most as this multiple of the usual one.
+MAX_KNEE_SAMPLE: typing.Final = 3.0
+MAX_WORK_SAMPLE: typing.Final = 3.0
+#: Share of the objective up to which a prediction costs nothing, and the
+#: span of shares over which a miss becomes certain.
+EARLY_SHARE: typing.Final = 0.6
+LATE_SPAN: typing.Final = 0.6
+#: Small cost of time, which decides between targets that are all in time.
+SPEED_COST: typing.Final = 0.1
+#: Cost of a certain error, of an unhealthy target and of leaving the own
+#: failure domain, in missed objectives.
+ERROR_COST: typing.Final = 2.0
+UNWELL_COST: typing.Final = 1.0
+DISTANCE_COST: typing.Final = 0.2
+#: Random part of the order in which targets are asked.
+ORDER_JITTER: typing.Final = 0.05
+
+#: Pause after which a waiting request looks for room by itself.
+RESCOUT_S: typing.Final = 0.03
+#: Part of the saved-up probes that such searches leave to new requests.
+REPEATED_RESERVE: typing.Final = 0.5
+#: Time between two requests leaving a queue, before any was measured.
+PRIOR_ROOM_INTERVAL_S: typing.Final = 0.02
+ROOM_INTERVAL_WEIGHT: typing.Final = 0.1
+#: A caller that returns after a rejection says how long it has waited by
+#: the part of its time that is left; smaller parts than this are first
+#: sends.
+RETURNING_SHARE: typing.Final = 0.95
+#: Margin on the expected time when the latest start is worked out.
+START_MARGIN: typing.Final = 1.15
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -14,6 +14,7 @@
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import scout
 from trefoilstand.gateway import state
+from trefoilstand.gateway import waiting
 from trefoilstand.http import errors
 from trefoilstand.http import models as http_models
 from trefoilstand.http import server
@@ -39,6 +40,14 @@
     response: http_models.Response | None = None
     refusal: models.Refusal | None = None
 
+    @property
+    def is_proved(self) -> bool:
+        """Return whether the request certainly did not run."""
+        return self.outcome in (
+            models.Outcome.NOT_EXECUTED,
+            models.Outcome.MISDIRECTED,
+        )
+
     @property
     def is_good(self) -> bool:
         """Return whether a caller is best served with this answer."""
@@ -56,10 +65,13 @@
     route: models.Route
     service: str
     latest_s: float
+    waited_s: float
     tried: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
     may_have_run: bool = False
     predicted_s: float = 0.0
+    sent_s: float = 0.0
+    report: models.LoadReport | None = None
     report_age_s: float | None = None
     fallback: http_models.Response | None = None
     last_refusal: models.Refusal = models.Refusal.NO_TARGET
@@ -73,7 +85,7 @@
     :param finder: chooses targets.
     :param links: connections to targets.
     :param dialect: names on the wire.
-    :param estimator: learns working times.
+    :param predictor: learns working times.
     :param random_source: spreads the return of rejected callers.
     """
 
@@ -84,16 +96,18 @@
         finder: scout.Scout,
         links: pool.LinkPool,
         dialect: dialects.Dialect,
-        estimator: prediction.WorkEstimator,
+        predictor: prediction.Predictor,
         random_source: random.Random,
     ) -> None:
         self._state = current
         self._scout = finder
         self._links = links
         self._dialect = dialect
-        self._estimator = estimator
+        self._predictor = predictor
         self._random = random_source
         self._budgets: dict[str, retry_budget.FleetRetryBudget] = {}
+        self._rooms: dict[str, waiting.WaitingRoom] = {}
+        self._longest_ms: dict[str, int] = {}
         self.in_progress = 0
 
     async def handle(self, request: http_models.Request) -> server.Answer:
@@ -120,6 +134,7 @@
             route=route,
             service=self._state.splits.choose(route),
             latest_s=request.arrived_s + self._time_allowed_s(request, route),
+            waited_s=self._waited_before_s(request, route),
         )
         answer = await self._run(call)
         self._log(call, answer)
@@ -142,6 +157,24 @@
             return route.timeout_s
         return min(int(value) / _MS_PER_S, route.timeout_s)
 
+    def _waited_before_s(
+        self, request: http_models.Request, route: models.Route
+    ) -> float:
+        """Return how long the caller has waited in earlier sends.
+
+        A caller that was rejected returns with what is left of its time,
+        so less than the longest time seen on the route tells.
+        """
+        value = request.find(self._dialect.names.deadline_ms)
+        if value is None or not value.isdigit():
+            return 0.0
+        left_ms = int(value)
+        longest_ms = max(self._longest_ms.get(route.name, 0), left_ms)
+        self._longest_ms[route.name] = longest_ms
+        if left_ms >= longest_ms * const.RETURNING_SHARE:
+            return 0.0
+        return (longest_ms - left_ms) / _MS_PER_S
+
     async def _run(self, call: _Call) -> server.Answer:
         """Send a request until it is answered or time is up."""
         self._budget(call.service).record_request(time.monotonic())
@@ -195,11 +228,7 @@
     def _should_retry(self, call: _Call, end: AttemptEnd) -> bool:
         if end.refusal is not None:
             return False
-        is_proved = end.outcome in (
-            models.Outcome.NOT_EXECUTED,
-            models.Outcome.MISDIRECTED,
-        )
-        if not (is_proved or call.route.is_idempotent):
+        if not (end.is_proved or call.route.is_idempotent):
             return False
         return self._may_repeat(call)
 
@@ -215,11 +244,15 @@
     def _hedge_delay_s(self, call: _Call) -> float:
         """Return when a second send is worth its cost."""
         now_s = time.monotonic()
+        work_s = self._predictor.work_s(call.route)
         delay_s = max(
             call.predicted_s * const.HEDGE_FACTOR,
-            call.route.objective_s * const.HEDGE_MIN_OBJECTIVE_SHARE,
+            call.route.objective_s
+            - call.waited_s
+            - work_s * const.HEDGE_FACTOR,
         )
-        return max(call.request.arrived_s + delay_s - now_s, 0.001)
+        since_s = call.sent_s or now_s
+        return max(since_s + delay_s - now_s, 0.001)
 
     def _start_attempt(self, call: _Call) -> asyncio.Task[AttemptEnd]:
         call.attempts += 1
@@ -227,21 +260,111 @@
 
     async def _attempt(self, call: _Call) -> AttemptEnd:
         """Choose a target and send the request there once."""
-        placement = await self._scout.find(
-            service=call.service,
-            route=call.route,
-            excluded=call.tried,
-            latest_s=call.latest_s,
-        )
+        placement = await self._place(call)
         if isinstance(placement, models.Refusal):
             return AttemptEnd(
                 outcome=models.Outcome.NOT_EXECUTED, refusal=placement
             )
         if call.predicted_s == 0.0:
             call.predicted_s = placement.predicted_s
+            call.sent_s = time.monotonic()
+            call.report = placement.report
             call.report_age_s = placement.report_age_s
         return await self._send(call, placement)
 
+    async def _place(self, call: _Call) -> scout.Placement | models.Refusal:
+        """Find a target with room, or wait for one."""
+        query = scout.Query(
+            service=call.service,
+            route=call.route,
+            excluded=call.tried,
+            due_s=call.request.arrived_s
+            + call.route.objective_s
+            - call.waited_s,
+            latest_s=call.latest_s,
+        )
+        room = self._room(call.service)
+        if not room.is_behind(call.route):
+            found = await self._scout.find(query)
+            if isinstance(found, scout.Placement):
+                return found
+            if found is models.Refusal.NO_TARGET:
+                return found
+        return await self._wait_for_room(call, query, room)
+
+    async def _wait_for_room(
+        self, call: _Call, query: scout.Query, room: waiting.WaitingRoom
+    ) -> scout.Placement | models.Refusal:
+        """Wait as long as the request can still be answered in time."""
+        now_s = time.monotonic()
+        needed_s = self._predictor.work_s(call.route) * const.START_MARGIN
+        if now_s + room.expected_wait_s(call.route) > (
+            call.latest_s - needed_s
+        ):
+            return models.Refusal.OVERLOADED
+        waiter = room.join(query, now_s)
+        placement: scout.Placement | None = None
+        try:
+            placement = await self._seek(call, waiter, room, needed_s)
+        finally:
+            room.leave(
+                waiter, time.monotonic(), is_served=placement is not None
+            )
+            if (
+                waiter.future.done()
+                and waiter.future.result() is not placement
+            ):
+                unused = waiter.future.result()
+                self._give_back(query.service, unused)
+        return placement or models.Refusal.OVERLOADED
+
+    async def _seek(
+        self,
+        call: _Call,
+        waiter: waiting.Waiter,
+        room: waiting.WaitingRoom,
+        needed_s: float,
+    ) -> scout.Placement | None:
+        """Wait for an offer and look for room from time to time."""
+        query = dataclasses.replace(waiter.query, is_repeated=True)
+        while time.monotonic() + needed_s < call.latest_s:
+            pause_s = const.RESCOUT_S * (0.75 + 0.5 * self._random.random())
+            done, _ = await asyncio.wait({waiter.future}, timeout=pause_s)
+            if done:
+                return waiter.future.result()
+            found = await self._scout.find(query)
+            if waiter.future.done():
+                if isinstance(found, scout.Placement):
+                    self._links.release(found.target, found.link)
+                return waiter.future.result()
+            if isinstance(found, scout.Placement):
+                return found
+            if found is models.Refusal.NO_TARGET:
+                return None
+        return None
+
+    def _give_back(self, service: str, unused: scout.Placement) -> None:
+        """Offer a target to a waiting request or keep its connection."""
+        target = unused.target
+        now_s = time.monotonic()
+        room = self._rooms.get(service)
+        if (
+            room
+            and unused.link.is_reusable
+            and self._state.is_eligible(target)
+            and target.ejected_until_s <= now_s
+            and room.offer(target, unused.link, now_s)
+        ):
+            return
+        self._links.release(target, unused.link)
+
+    def _room(self, service: str) -> waiting.WaitingRoom:
+        room = self._rooms.get(service)
+        if room is None:
+            room = waiting.WaitingRoom(predictor=self._predictor)
+            self._rooms[service] = room
+        return room
+
     async def _send(
         self, call: _Call, placement: scout.Placement
     ) -> AttemptEnd:
@@ -268,29 +391,22 @@
             ),
             is_head=call.request.method == b"HEAD",
         )
+        end: AttemptEnd | None = None
         try:
             response = await future
+            end = self._judge(response, target.target_id)
+            self._learn(call, placement, end, time.monotonic() - now_s)
         except errors.LinkError as error:
             target.record_failure(time.monotonic())
+            outcome = models.Outcome.UNKNOWN
             if not error.is_sent:
-                call.may_have_run = had_run
-                return AttemptEnd(
-                    outcome=models.Outcome.NOT_EXECUTED,
-                    target_id=target.target_id,
-                )
-            return AttemptEnd(
-                outcome=models.Outcome.UNKNOWN, target_id=target.target_id
-            )
+                outcome = models.Outcome.NOT_EXECUTED
+            end = AttemptEnd(outcome=outcome, target_id=target.target_id)
         finally:
             target.in_flight.pop(attempt_id, None)
-            self._links.release(target, placement.link)
-        end = self._judge(response, target.target_id)
-        if end.outcome in (
-            models.Outcome.NOT_EXECUTED,
-            models.Outcome.MISDIRECTED,
-        ):
-            call.may_have_run = had_run
-        self._learn(call, placement, end, time.monotonic() - now_s)
+            if end is not None and end.is_proved:
+                call.may_have_run = had_run
+            self._give_back(call.service, placement)
         return end
 
     def _judge(
@@ -330,7 +446,9 @@
                 target.report = report
         if end.is_good:
             target.record_success(now_s)
-            self._estimator.learn(call.route, elapsed_s, placement.slowdown)
+            self._predictor.learn(
+                call.route, call.service, elapsed_s, placement.report
+            )
             return
         target.record_failure(now_s)
 
@@ -367,7 +485,10 @@
         if call.may_have_run:
             is_late = time.monotonic() >= call.latest_s
             return server.Answer(status=504 if is_late else 502)
-        return self._rejection(call.last_refusal)
+        room = self._room(call.service)
+        return self._rejection(
+            call.last_refusal, room.expected_wait_s(call.route)
+        )
 
     def _refuse(
         self, request: http_models.Request, refusal: models.Refusal
@@ -387,11 +508,20 @@
         )
         return answer
 
-    def _rejection(self, refusal: models.Refusal) -> server.Answer:
-        """Return an answer that promises that nothing ran."""
-        pause_s = const.RETRY_AFTER_BUSY_S
-        if refusal is not models.Refusal.OVERLOADED:
-            pause_s = const.RETRY_AFTER_UNREADY_S
+    def _rejection(
+        self, refusal: models.Refusal, wait_s: float = 0.0
+    ) -> server.Answer:
+        """Return an answer that promises that nothing ran.
+
+        :param refusal: why.
+        :param wait_s: time until there is room, as far as is known.
+        """
+        pause_s = const.RETRY_AFTER_UNREADY_S
+        if refusal is models.Refusal.OVERLOADED:
+            pause_s = min(
+                max(wait_s, const.MIN_RETRY_AFTER_S),
+                const.MAX_RETRY_AFTER_S,
+            )
         pause_s *= 0.75 + 0.5 * self._random.random()
         return server.Answer(
             status=503, fields=[(b"retry-after", b"%.3f" % pause_s)]
@@ -427,6 +557,7 @@
                 outcome=call.last_outcome,
                 status=answer.status,
                 predicted_ms=round(call.predicted_s * _MS_PER_S, 1),
+                load=_describe_load(call.report),
                 report_age_ms=None
                 if call.report_age_s is None
                 else round(call.report_age_s * _MS_PER_S, 1),
@@ -435,3 +566,12 @@
                 ),
             )
         )
+
+
+def _describe_load(report: models.LoadReport | None) -> str:
+    """Return running, waiting, slots and slowdown for the log."""
+    if report is None:
+        return ""
+    return (
+        f"{report.running},{report.waiting},{report.slots},{report.slowdown:g}"
+    )
--- a/trefoilstand/gateway/models.py
+++ b/trefoilstand/gateway/models.py
@@ -131,6 +131,7 @@
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     NO_TARGET = "no_target"
+    NO_ANSWER = "no_answer"
     OVERLOADED = "overloaded"
     DEADLINE_PASSED = "deadline_passed"
     NOT_SERVING = "not_serving"
--- a/trefoilstand/gateway/prediction.py
+++ b/trefoilstand/gateway/prediction.py
@@ -1,37 +1,129 @@
 """Predict when a target would finish a request."""
 
-import typing
-
 from trefoilstand.gateway import const
 from trefoilstand.gateway import models
 from trefoilstand.gateway import targets
 
-#: Predicted end at a target whose queue is too long to be waited for.
-QUEUE_TOO_LONG_S: typing.Final = 1e6
+
+class MovingMean:
+    """Follow the mean of samples.
+
+    :param prior: value before the first sample.
+    :param weight: weight of a new sample.
+    """
+
+    __slots__ = ("_weight", "value")
+
+    def __init__(self, *, prior: float, weight: float) -> None:
+        self.value = prior
+        self._weight = weight
+
+    def add(self, sample: float) -> None:
+        """Take in a sample."""
+        self.value += self._weight * (sample - self.value)
 
 
-class WorkEstimator:
-    """Learn how long the requests of each route work at usual speed."""
+class Predictor:
+    """Learn working times and predict from reports.
+
+    Some targets slow down when they are nearly full.  Whether those of a
+    service do is learned from the durations of requests that found a
+    target nearly full, against those that did not.
+    """
 
     def __init__(self) -> None:
-        self._work_s: dict[str, float] = {}
+        self._work_s: dict[str, MovingMean] = {}
+        self._knees: dict[str, MovingMean] = {}
 
-    def estimate_s(self, route: models.Route) -> float:
-        """Return the expected working time of a request."""
+    def work_s(self, route: models.Route) -> float:
+        """Return the expected working time of a request at usual pace."""
         known = self._work_s.get(route.name)
         if known is None:
             return route.objective_s * const.PRIOR_WORK_SHARE
-        return known
+        return known.value
 
     def learn(
-        self, route: models.Route, elapsed_s: float, slowdown: float
+        self,
+        route: models.Route,
+        service: str,
+        elapsed_s: float,
+        report: models.LoadReport | None,
     ) -> None:
-        """Take in the duration of one answered request."""
-        sample_s = elapsed_s / max(slowdown, 1.0)
-        known_s = self.estimate_s(route)
-        self._work_s[route.name] = known_s + const.WORK_WEIGHT * (
-            sample_s - known_s
+        """Take in the duration of one answered request.
+
+        :param report: what its target said before the request was sent.
+        """
+        if report is None:
+            self._learn_work(route, elapsed_s)
+            return
+        occupied = report.running + report.waiting + 1
+        if report.slowdown > const.USUAL_SLOWDOWN or occupied > report.slots:
+            # A slowdown or a queue may have ended meanwhile.
+            return
+        if occupied > report.slots * const.KNEE_SHARE:
+            knee = self._knees.setdefault(
+                service, MovingMean(prior=1.0, weight=const.KNEE_WEIGHT)
+            )
+            ratio = elapsed_s / max(self.work_s(route), 1e-4)
+            knee.add(min(ratio, const.MAX_KNEE_SAMPLE))
+            return
+        self._learn_work(route, elapsed_s)
+
+    def _learn_work(self, route: models.Route, elapsed_s: float) -> None:
+        known = self._work_s.setdefault(
+            route.name,
+            MovingMean(prior=self.work_s(route), weight=const.WORK_WEIGHT),
         )
+        # Slowdowns that begin on the way would lift the mean.
+        known.add(min(elapsed_s, const.MAX_WORK_SAMPLE * known.value))
+
+    def knee(self, service: str) -> float:
+        """Return the slowdown of nearly full targets of a service."""
+        known = self._knees.get(service)
+        return 1.0 if known is None else known.value
+
+    def room_limit(self, target: targets.Target) -> int:
+        """Return how many requests a target runs at its best pace."""
+        report = target.report
+        slots = report.slots if report else target.record.slots
+        if self.knee(target.record.service) < const.KNEE_SLOWDOWN:
+            return slots
+        return max(int(slots * const.KNEE_SHARE), 1)
+
+    def has_room(self, target: targets.Target, now_s: float) -> bool:
+        """Return whether one more request would start at once."""
+        return _load(target, now_s) < self.room_limit(target)
+
+    def predict_s(
+        self, target: targets.Target, route: models.Route, now_s: float
+    ) -> float:
+        """Return the expected time until a new request is answered."""
+        work_s = self.work_s(route)
+        slots = max(target.record.slots, 1)
+        slowdown = const.TYPICAL_SLOWDOWN
+        report = _recent(target, now_s)
+        if report is not None:
+            slots = report.slots
+            slowdown = report.slowdown
+        if target.is_warming(now_s):
+            slowdown *= const.WARMUP_SLOWDOWN
+        load = _load(target, now_s)
+        if load >= self.room_limit(target):
+            slowdown *= self.knee(target.record.service)
+        ahead = max(load + 1 - slots, 0)
+        return stretch_s(work_s, slowdown) * (1 + ahead / slots)
+
+    def cost(
+        self, target: targets.Target, route: models.Route, now_s: float
+    ) -> float:
+        """Return the expected loss of sending a request to a target.
+
+        One stands for a request that misses its objective.
+        """
+        share = self.predict_s(target, route, now_s) / route.objective_s
+        late = (share - const.EARLY_SHARE) / const.LATE_SPAN
+        cost = max(late, 0.0) + share * const.SPEED_COST
+        return cost + target.current_error_rate(now_s) * const.ERROR_COST
 
 
 def stretch_s(work_s: float, slowdown: float) -> float:
@@ -40,60 +132,28 @@
     The slowdown is expected to end after a while; what is left then goes on
     at the typical pace.
     """
-    if slowdown <= const.TYPICAL_SLOWDOWN:
-        return work_s * slowdown
     slow_s = work_s * slowdown
+    if slowdown <= const.TYPICAL_SLOWDOWN:
+        return slow_s
     if slow_s <= const.SLOWDOWN_PERSISTENCE_S:
         return slow_s
     done_s = const.SLOWDOWN_PERSISTENCE_S / slowdown
-    return (
-        const.SLOWDOWN_PERSISTENCE_S
-        + (work_s - done_s) * const.TYPICAL_SLOWDOWN
-    )
-
+    left_s = (work_s - done_s) * const.TYPICAL_SLOWDOWN
+    return const.SLOWDOWN_PERSISTENCE_S + left_s
 
-def predict_s(target: targets.Target, work_s: float, now_s: float) -> float:
-    """Return the expected time until a new request is answered.
 
-    :param target: where it would go.
-    :param work_s: working time at usual speed.
-    :param now_s: monotonic time.
-    """
+def _recent(target: targets.Target, now_s: float) -> models.LoadReport | None:
     report = target.report
-    is_known = (
-        report is not None
-        and now_s - report.observed_s <= const.REPORT_LIFETIME_S
-    )
-    slots = max(target.record.slots, 1)
-    slowdown = const.TYPICAL_SLOWDOWN
-    load = len(target.in_flight)
-    if report is not None and is_known:
-        slots = max(report.slots, 1)
-        slowdown = report.slowdown
-        load = report.running + report.waiting + target.unreported()
-        if report.waiting >= slots:
-            return QUEUE_TOO_LONG_S + report.waiting
-    if target.is_warming(now_s):
-        slowdown *= const.WARMUP_SLOWDOWN
-    if load + 1 > slots * const.KNEE_SHARE:
-        slowdown *= const.KNEE_SLOWDOWN
-    service_s = stretch_s(work_s, slowdown)
-    ahead = max(load + 1 - slots, 0)
-    return service_s * (1 + ahead / slots)
-
-
-def score_s(
-    *,
-    target: targets.Target,
-    route: models.Route,
-    work_s: float,
-    own_domain: str,
-    now_s: float,
-) -> float:
-    """Return the predicted time with the costs of errors and distance."""
-    score = predict_s(target, work_s, now_s)
-    rate = target.current_error_rate(now_s)
-    score += rate * const.ERROR_COST_OBJECTIVES * route.objective_s
-    if target.record.failure_domain != own_domain:
-        score += work_s * const.DISTANCE_WORK_SHARE
-    return score
+    if report is None:
+        return None
+    if now_s - report.observed_s > const.REPORT_LIFETIME_S:
+        return None
+    return report
+
+
+def _load(target: targets.Target, now_s: float) -> int:
+    """Return the requests that are believed to be at a target."""
+    report = _recent(target, now_s)
+    if report is None:
+        return len(target.in_flight)
+    return report.running + report.waiting + target.unreported()
--- a/trefoilstand/gateway/retry_budget.py
+++ b/trefoilstand/gateway/retry_budget.py
@@ -9,9 +9,12 @@
 import dataclasses
 import typing
 
-#: Share of the budget that is spent; the rest covers requests that are
+#: Share of the ratio that is spent; the rest covers requests that are
 #: counted in another window than their repeats.
-_SAFETY_RATIO: typing.Final = 0.6
+_RATIO_SHARE: typing.Final = 0.8
+#: Share of the allowance that is spent; restarted hosts begin anew, so that
+#: some of it is spent twice after a loss of many hosts.
+_ALLOWANCE_SHARE: typing.Final = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,9 +54,9 @@
         :param hosts: hosts that share the fixed allowance.
         """
         self._expire(now_s)
-        earned = self._terms.ratio * len(self._requests)
-        earned += self._terms.allowance / max(hosts, 1)
-        if len(self._repeats) + 1 > earned * _SAFETY_RATIO:
+        earned = self._terms.ratio * len(self._requests) * _RATIO_SHARE
+        earned += self._terms.allowance * _ALLOWANCE_SHARE / max(hosts, 1)
+        if len(self._repeats) + 1 > earned:
             return False
         self._repeats.append(now_s)
         return True
--- a/trefoilstand/gateway/scout.py
+++ b/trefoilstand/gateway/scout.py
@@ -1,4 +1,4 @@
-"""Ask targets for their load right before a request is sent.
+"""Find the target that would finish a request first.
 
 A target's load shifts within milliseconds, so only what it says at the
 moment of the choice is worth much.  The request then goes out on the very
@@ -11,22 +11,17 @@
 import dataclasses
 import random
 import time
-import typing
 
 from trefoilstand.gateway import const
-from trefoilstand.gateway import dialect as dialects
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
+from trefoilstand.gateway import probing
 from trefoilstand.gateway import targets
 from trefoilstand.http import errors
 from trefoilstand.http import link
-from trefoilstand.http import models as http_models
-from trefoilstand.http import wire
 from trefoilstand.util import token_bucket
 
-_OK: typing.Final = 200
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Placement:
@@ -35,33 +30,62 @@
     :param target: where the request goes.
     :param link: connection that nobody else uses.
     :param predicted_s: expected time until the answer.
-    :param slowdown: what the target said of its pace, 1 where unknown.
-    :param report_age_s: age of its report, None without one.
+    :param report: what the target said of its load, None if nothing.
+    :param report_age_s: age of that report.
     """
 
     target: targets.Target
     link: link.Link
     predicted_s: float
-    slowdown: float
+    report: models.LoadReport | None
     report_age_s: float | None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Probed:
-    """Hold the result of one probe."""
+class Query:
+    """State what a target is sought for.
 
-    target: targets.Target
-    link: link.Link
-    is_well: bool
+    :param service: service that is to run the request.
+    :param route: route of the request.
+    :param excluded: targets that the request was already sent to.
+    :param due_s: monotonic time up to which an answer meets the objective.
+    :param latest_s: monotonic time after which nobody waits for it.
+    :param is_repeated: whether it was sought before without success.
+    """
+
+    service: str
+    route: models.Route
+    excluded: collections.abc.Set[str]
+    due_s: float
+    latest_s: float
+    is_repeated: bool = False
+
+    def fits(
+        self,
+        target: targets.Target,
+        predictor: prediction.Predictor,
+        now_s: float,
+    ) -> bool:
+        """Return whether a target is good enough to be used now.
+
+        As long as the objective can be met, only targets that promise to
+        meet it are; later all that promise an answer in time at all.
+        """
+        if not predictor.has_room(target, now_s):
+            return False
+        end_s = now_s + predictor.predict_s(target, self.route, now_s)
+        if now_s + predictor.work_s(self.route) <= self.due_s:
+            return end_s <= self.due_s
+        return end_s <= self.latest_s
 
 
 class Scout:
-    """Find the target that would finish a request first.
+    """Probe targets, near ones first, and choose one with room.
 
     :param table: registered targets.
     :param links: connections to them.
-    :param dialect: names on the wire.
-    :param estimator: working times of the routes.
+    :param prober: asks single targets.
+    :param predictor: expected times.
     :param budget: probes that this host may send.
     :param random_source: breaks ties.
     :param own_domain: failure domain of this host.
@@ -72,118 +96,129 @@
         *,
         table: targets.TargetTable,
         links: pool.LinkPool,
-        dialect: dialects.Dialect,
-        estimator: prediction.WorkEstimator,
+        prober: probing.Prober,
+        predictor: prediction.Predictor,
         budget: token_bucket.TokenBucket,
         random_source: random.Random,
         own_domain: str,
     ) -> None:
         self._table = table
         self._links = links
-        self._dialect = dialect
-        self._estimator = estimator
+        self._prober = prober
+        self._predictor = predictor
         self._budget = budget
         self._random = random_source
         self._own_domain = own_domain
-        self._running: set[asyncio.Task[_Probed | None]] = set()
-        self.health_paths: dict[str, str] = {}
-        self.probes = 0
-        self.failed_probes = 0
-
-    async def find(
-        self,
-        *,
-        service: str,
-        route: models.Route,
-        excluded: collections.abc.Set[str],
-        latest_s: float,
-    ) -> Placement | models.Refusal:
-        """Return the best target with a connection, or why there is none.
+        self._running: set[asyncio.Task[probing.Probed | None]] = set()
 
-        :param service: service that is to run the request.
-        :param route: route of the request.
-        :param excluded: targets that the request was already sent to.
-        :param latest_s: monotonic time by which the answer is due.
-        """
-        order = self._order(service, route, excluded)
-        if not order:
+    async def find(self, query: Query) -> Placement | models.Refusal:
+        """Return the best target with room, or why there is none."""
+        near, far = self._order(query)
+        if not near and not far:
             return models.Refusal.NO_TARGET
-        work_s = self._estimator.estimate_s(route)
-        answered: list[_Probed] = []
+        answered: list[probing.Probed] = []
         try:
-            await self._search(order, answered, route, latest_s)
+            await self._search(query, near, answered)
+            if not self._is_satisfied(query, answered):
+                await self._search(query, far, answered)
         except asyncio.CancelledError:
             self._give_back(answered)
             raise
-        return self._choose(answered, route, work_s, latest_s)
+        if not answered and not query.is_repeated:
+            return await self._place_unprobed(query, near or far)
+        return self._choose(query, answered)
+
+    async def _place_unprobed(
+        self, query: Query, order: list[targets.Target]
+    ) -> Placement | models.Refusal:
+        """Choose by known reports, as when no probe may be sent."""
+        now_s = time.monotonic()
+        for target in order:
+            if target.failures or not query.fits(
+                target, self._predictor, now_s
+            ):
+                continue
+            try:
+                used = await self._links.acquire(target)
+            except errors.LinkError:
+                target.record_failure(time.monotonic())
+                continue
+            return make_placement(
+                target, used, query.route, self._predictor, now_s
+            )
+        return models.Refusal.NO_ANSWER
 
     async def _search(
         self,
+        query: Query,
         order: list[targets.Target],
-        answered: list[_Probed],
-        route: models.Route,
-        latest_s: float,
+        answered: list[probing.Probed],
     ) -> None:
         """Ask round after round until a good target has answered."""
-        work_s = self._estimator.estimate_s(route)
         asked = 0
         size = const.FIRST_ROUND_PROBES
         while asked < min(len(order), const.MAX_PROBES):
             group = order[asked : asked + size]
             asked += len(group)
             size = const.LATER_ROUND_PROBES
-            await self._ask(group, answered, work_s)
-            now_s = time.monotonic()
-            if self._is_satisfying(answered, route, work_s, now_s):
+            await self._ask(query, group, answered)
+            if self._is_satisfied(query, answered):
                 return
-            if now_s + work_s >= latest_s:
+            if time.monotonic() >= query.latest_s:
                 return
 
     def _order(
-        self,
-        service: str,
-        route: models.Route,
-        excluded: collections.abc.Set[str],
-    ) -> list[targets.Target]:
-        """Return the targets in the order in which they are asked."""
+        self, query: Query
+    ) -> tuple[list[targets.Target], list[targets.Target]]:
+        """Return near and far targets, each in the order to ask them.
+
+        Targets of which nothing recent is known take their place by the
+        typical pace, so that new ones and those that recovered are asked
+        again.
+        """
         now_s = time.monotonic()
         known = [
             target
-            for target in self._table.of_service(service)
-            if target.target_id not in excluded
+            for target in self._table.of_service(query.service)
+            if target.target_id not in query.excluded
         ]
-        open_targets = [
+        usable = [
             target for target in known if target.ejected_until_s <= now_s
         ]
-        if len(open_targets) < len(known) * (1 - const.MAX_EJECTED_SHARE):
-            open_targets = known
-        work_s = self._estimator.estimate_s(route)
-        jitter = {
-            target.target_id: self._random.random() for target in open_targets
+        if len(usable) < len(known) * (1 - const.MAX_EJECTED_SHARE):
+            usable = known
+        ranks = {
+            target.target_id: self._predictor.cost(target, query.route, now_s)
+            + const.ORDER_JITTER * self._random.random()
+            for target in usable
         }
+        usable.sort(key=lambda target: ranks[target.target_id])
+        near = [target for target in usable if self._is_near(target)]
+        far = [target for target in usable if not self._is_near(target)]
+        return near, far
 
-        def rank(target: targets.Target) -> tuple[int, float]:
-            is_far = target.record.failure_domain != self._own_domain
-            predicted = prediction.predict_s(target, work_s, now_s)
-            is_bad = predicted > route.objective_s
-            is_failing = target.current_error_rate(now_s) > 0.3
-            return (
-                2 * (is_bad or is_failing) + is_far,
-                jitter[target.target_id],
-            )
+    def _may_probe(self, query: Query) -> bool:
+        """Spend a probe; repeated searches leave some for new ones."""
+        reserve = const.REPEATED_RESERVE if query.is_repeated else 0.0
+        return self._budget.take(time.monotonic(), reserve_share=reserve)
 
-        return sorted(open_targets, key=rank)
+    def _is_near(self, target: targets.Target) -> bool:
+        return target.record.failure_domain == self._own_domain
 
     async def _ask(
         self,
+        query: Query,
         group: list[targets.Target],
-        answered: list[_Probed],
-        work_s: float,
+        answered: list[probing.Probed],
     ) -> None:
         """Probe some targets and collect those that answer in time."""
         pending = set()
         for target in group:
-            task = asyncio.get_running_loop().create_task(self._probe(target))
+            if not self._may_probe(query):
+                break
+            task = asyncio.get_running_loop().create_task(
+                self._prober.probe(target)
+            )
             self._running.add(task)
             pending.add(task)
         until_s = time.monotonic() + const.ROUND_TIMEOUT_S
@@ -201,13 +236,13 @@
                     probed = task.result()
                     if probed is not None:
                         answered.append(probed)
-                if self._is_ideal(answered, work_s):
+                if self._is_ideal(query, answered):
                     break
         finally:
             for task in pending:
                 task.add_done_callback(self._take_late)
 
-    def _take_late(self, task: asyncio.Task[_Probed | None]) -> None:
+    def _take_late(self, task: asyncio.Task[probing.Probed | None]) -> None:
         """Return the connection of a probe that nobody waited for."""
         self._running.discard(task)
         if task.cancelled():
@@ -216,135 +251,76 @@
         if probed is not None:
             self._links.release(probed.target, probed.link)
 
-    async def _probe(self, target: targets.Target) -> _Probed | None:
-        """Ask one target; None where it gave no usable answer."""
-        self.probes += 1
-        path = self.health_paths.get(target.record.service, "/health")
-        address = f"{target.record.ip}:{target.record.port}"
-        data = wire.encode_request(
-            method=b"GET",
-            target=path.encode(),
-            fields=[(b"host", address.encode())],
-        )
-        used: link.Link | None = None
-        try:
-            async with asyncio.timeout(const.PROBE_TIMEOUT_S):
-                used = await self._links.acquire(target)
-                response = await used.send(data, matches=self._is_health)
-        except (TimeoutError, errors.LinkError):
-            if used is not None:
-                used.abort()
-            self.failed_probes += 1
-            target.record_failure(time.monotonic())
-            return None
-        except asyncio.CancelledError:
-            if used is not None:
-                used.abort()
-            raise
-        now_s = time.monotonic()
-        report = self._dialect.read_load(response, now_s)
-        if report is not None:
-            target.report = report
-        identity = self._dialect.read_target_id(response)
-        if identity is not None and identity != target.target_id:
-            # The address belongs to another process by now.
-            used.close()
-            target.record_failure(now_s)
-            return None
-        if not used.is_reusable:
-            # The target closes after its answer, as leaving ones do.
-            return await self._reopen(target, response.status == _OK)
-        return _Probed(
-            target=target, link=used, is_well=response.status == _OK
-        )
-
-    async def _reopen(
-        self, target: targets.Target, is_well: bool
-    ) -> _Probed | None:
-        try:
-            return _Probed(
-                target=target,
-                link=await self._links.acquire(target),
-                is_well=is_well,
-            )
-        except errors.LinkError:
-            return None
-
-    def _is_health(self, response: http_models.Response) -> bool:
-        """Return whether an answer is not a late one to a request."""
-        return response.find(self._dialect.names.request_id) is None
-
-    def _is_ideal(self, answered: list[_Probed], work_s: float) -> bool:
+    def _is_ideal(self, query: Query, answered: list[probing.Probed]) -> bool:
         """Return whether waiting for more answers cannot pay."""
         now_s = time.monotonic()
-        for probed in answered:
-            if not probed.is_well:
-                continue
-            if probed.target.record.failure_domain != self._own_domain:
-                continue
-            predicted = prediction.predict_s(probed.target, work_s, now_s)
-            if predicted <= work_s * const.EQUAL_PREDICTION:
-                return True
-        return False
+        work_s = self._predictor.work_s(query.route)
+        return any(
+            probed.is_well
+            and self._is_near(probed.target)
+            and self._predictor.has_room(probed.target, now_s)
+            and self._predictor.predict_s(probed.target, query.route, now_s)
+            <= work_s * const.EQUAL_PREDICTION
+            for probed in answered
+        )
 
-    def _is_satisfying(
-        self,
-        answered: list[_Probed],
-        route: models.Route,
-        work_s: float,
-        now_s: float,
+    def _is_satisfied(
+        self, query: Query, answered: list[probing.Probed]
     ) -> bool:
-        """Return whether asking further targets is not needed."""
-        limit_s = max(
-            route.objective_s * const.SATISFYING_SHARE,
-            work_s * const.TYPICAL_SLOWDOWN,
-        )
+        """Return whether asking further targets is not worth its cost."""
+        now_s = time.monotonic()
         return any(
             probed.is_well
-            and prediction.predict_s(probed.target, work_s, now_s) <= limit_s
+            and query.fits(probed.target, self._predictor, now_s)
+            and self._predictor.cost(probed.target, query.route, now_s)
+            <= const.DISTANCE_COST
             for probed in answered
         )
 
     def _choose(
-        self,
-        answered: list[_Probed],
-        route: models.Route,
-        work_s: float,
-        latest_s: float,
+        self, query: Query, answered: list[probing.Probed]
     ) -> Placement | models.Refusal:
         """Keep the best connection and give the others back."""
         now_s = time.monotonic()
         if not answered:
-            return models.Refusal.NO_TARGET
-        scores = [
-            (
-                not probed.is_well,
-                prediction.score_s(
-                    target=probed.target,
-                    route=route,
-                    work_s=work_s,
-                    own_domain=self._own_domain,
-                    now_s=now_s,
-                ),
-            )
-            for probed in answered
-        ]
-        best = min(range(len(answered)), key=scores.__getitem__)
-        chosen = answered[best]
-        predicted = prediction.predict_s(chosen.target, work_s, now_s)
-        if now_s + predicted >= latest_s:
-            self._give_back(answered)
+            return models.Refusal.NO_ANSWER
+        best: probing.Probed | None = None
+        best_cost = float("inf")
+        for probed in answered:
+            if not query.fits(probed.target, self._predictor, now_s):
+                continue
+            cost = self._predictor.cost(probed.target, query.route, now_s)
+            if not self._is_near(probed.target):
+                cost += const.DISTANCE_COST
+            if not probed.is_well:
+                cost += const.UNWELL_COST
+            if cost < best_cost:
+                best, best_cost = probed, cost
+        self._give_back([probed for probed in answered if probed is not best])
+        if best is None:
             return models.Refusal.OVERLOADED
-        self._give_back(answered[:best] + answered[best + 1 :])
-        report = chosen.target.report
-        return Placement(
-            target=chosen.target,
-            link=chosen.link,
-            predicted_s=predicted,
-            slowdown=report.slowdown if report else 1.0,
-            report_age_s=now_s - report.observed_s if report else None,
+        return make_placement(
+            best.target, best.link, query.route, self._predictor, now_s
         )
 
-    def _give_back(self, answered: list[_Probed]) -> None:
+    def _give_back(self, answered: list[probing.Probed]) -> None:
         for probed in answered:
             self._links.release(probed.target, probed.link)
+
+
+def make_placement(
+    target: targets.Target,
+    used: link.Link,
+    route: models.Route,
+    predictor: prediction.Predictor,
+    now_s: float,
+) -> Placement:
+    """Return the placement of a request at a target."""
+    report = target.report
+    return Placement(
+        target=target,
+        link=used,
+        predicted_s=predictor.predict_s(target, route, now_s),
+        report=report,
+        report_age_s=now_s - report.observed_s if report else None,
+    )
--- a/trefoilstand/gateway/targets.py
+++ b/trefoilstand/gateway/targets.py
@@ -37,6 +37,11 @@
         self.error_rate = 0.0
         self.error_s = now_s
 
+    @property
+    def host_field(self) -> bytes:
+        """Return the address as a host header field."""
+        return f"{self.record.ip}:{self.record.port}".encode()
+
     @property
     def target_id(self) -> str:
         """Return the identity of the target's process."""
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -197,6 +197,7 @@
     outcome: str
     status: int
     predicted_ms: float
+    load: str
     report_age_ms: float | None
     latency_ms: float
 
--- a/trefoilstand/util/token_bucket.py
+++ b/trefoilstand/util/token_bucket.py
@@ -19,13 +19,17 @@
         self._rate_per_s = rate_per_s
         self._burst = burst
 
-    def take(self, now_s: float) -> bool:
-        """Take one token and return whether there was one."""
+    def take(self, now_s: float, *, reserve_share: float = 0.0) -> bool:
+        """Take one token and return whether there was one.
+
+        :param now_s: monotonic time.
+        :param reserve_share: part of the burst that is left to others.
+        """
         if self._filled_s is not None:
             earned = (now_s - self._filled_s) * self._rate_per_s
             self._tokens = min(self._tokens + max(earned, 0.0), self._burst)
         self._filled_s = now_s
-        if self._tokens < 1:
+        if self._tokens < 1 + reserve_share * self._burst:
             return False
         self._tokens -= 1
         return True
