Refuse late requests at once; ask far targets one by one

Cause: requests that could no longer meet their objective took slots from fresh ones; goodput fell with load. Change: late requests get spare room once, then 503 with the time to return; the budget's burst starts full; far targets are probed one by one; heartbeats twice a second; failure domains in the request log.

--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -2,9 +2,9 @@
 
 import typing
 
-#: Pause between two heartbeats of a host; a member of a fleet of 13 is
-#: then asked for a sign of life about four times a second.
-HEARTBEAT_S: typing.Final = 0.25
+#: Pause between two heartbeats of a host; each member is
+#: then asked for a sign of life about twice a second.
+HEARTBEAT_S: typing.Final = 0.5
 #: A heartbeat is repeated once after this time without an answer.
 REPLY_TIMEOUT_S: typing.Final = 0.12
 #: Members told at once of a change; all of them in fleets up to the limit.
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -45,7 +45,7 @@
 _GRACE_MARGIN_S: typing.Final = 1.0
 #: Share of the probes that targets allow which the fleet spends.
 _PROBE_SHARE: typing.Final = 0.8
-_PROBE_BURST_S: typing.Final = 3.0
+_PROBE_BURST_S: typing.Final = 8.0
 
 
 class Phase(enum.StrEnum):
--- a/trefoilstand/gateway/const.py
+++ b/trefoilstand/gateway/const.py
@@ -21,9 +21,11 @@
 #: Predictions within this factor of the best one count as equal.
 EQUAL_PREDICTION: typing.Final = 1.1
 
-#: Targets asked for their load in the first round, and in each later one.
+#: Near targets asked for their load in the first round; one more in each
+#: later one.
 FIRST_ROUND_PROBES: typing.Final = 2
-LATER_ROUND_PROBES: typing.Final = 3
+#: The same for far targets, whose probes cost bytes between domains.
+FAR_ROUND_PROBES: typing.Final = 1
 #: Most near targets asked for one request, and most far ones.
 MAX_PROBES: typing.Final = 6
 #: Longest wait for the answers of one round; a probe takes 1 to 4 ms.
@@ -85,14 +87,17 @@
 #: failure domain, in missed objectives.
 ERROR_COST: typing.Final = 2.0
 UNWELL_COST: typing.Final = 1.0
-DISTANCE_COST: typing.Final = 0.2
+DISTANCE_COST: typing.Final = 0.5
 #: Random part of the order in which targets are asked.
 ORDER_JITTER: typing.Final = 0.05
 
 #: Pause after which a waiting request looks for room by itself.
 RESCOUT_S: typing.Final = 0.03
 #: Part of the saved-up probes that such searches leave to new requests.
-REPEATED_RESERVE: typing.Final = 0.5
+REPEATED_RESERVE: typing.Final = 0.25
+#: A target that did not fit is not asked again before this time, as slow
+#: spells last for 0.5 s and more.
+ASK_AGAIN_S: typing.Final = 0.08
 #: Time between two requests leaving a queue, before any was measured.
 PRIOR_ROOM_INTERVAL_S: typing.Final = 0.02
 ROOM_INTERVAL_WEIGHT: typing.Final = 0.1
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -66,7 +66,7 @@
     service: str
     latest_s: float
     waited_s: float
-    tried: set[str] = dataclasses.field(default_factory=set)
+    tried: dict[str, str] = dataclasses.field(default_factory=dict)
     attempts: int = 0
     may_have_run: bool = False
     predicted_s: float = 0.0
@@ -277,7 +277,7 @@
         query = scout.Query(
             service=call.service,
             route=call.route,
-            excluded=call.tried,
+            excluded=call.tried.keys(),
             due_s=call.request.arrived_s
             + call.route.objective_s
             - call.waited_s,
@@ -327,7 +327,7 @@
     ) -> scout.Placement | None:
         """Wait for an offer and look for room from time to time."""
         query = dataclasses.replace(waiter.query, is_repeated=True)
-        while time.monotonic() + needed_s < call.latest_s:
+        while not query.is_late(self._predictor, time.monotonic()):
             pause_s = const.RESCOUT_S * (0.75 + 0.5 * self._random.random())
             done, _ = await asyncio.wait({waiter.future}, timeout=pause_s)
             if done:
@@ -379,7 +379,7 @@
                 if left_ms <= 0
                 else models.Refusal.NO_TARGET,
             )
-        call.tried.add(target.target_id)
+        call.tried[target.target_id] = target.record.failure_domain
         had_run = call.may_have_run
         call.may_have_run = True
         attempt_id = self._state.targets.begin(target, now_s)
@@ -553,6 +553,7 @@
                 service=call.service,
                 configuration_version=self._state.version,
                 targets=",".join(call.tried),
+                failure_domains=",".join(call.tried.values()),
                 attempts=call.attempts,
                 outcome=call.last_outcome,
                 status=answer.status,
--- a/trefoilstand/gateway/prediction.py
+++ b/trefoilstand/gateway/prediction.py
@@ -94,6 +94,10 @@
         """Return whether one more request would start at once."""
         return _load(target, now_s) < self.room_limit(target)
 
+    def has_spare_room(self, target: targets.Target, now_s: float) -> bool:
+        """Return whether room is left beside one more request."""
+        return _load(target, now_s) + 1 < self.room_limit(target)
+
     def predict_s(
         self, target: targets.Target, route: models.Route, now_s: float
     ) -> float:
--- a/trefoilstand/gateway/scout.py
+++ b/trefoilstand/gateway/scout.py
@@ -69,14 +69,21 @@
         """Return whether a target is good enough to be used now.
 
         As long as the objective can be met, only targets that promise to
-        meet it are; later all that promise an answer in time at all.
+        meet it are.  Later the request gets what others leave: targets at
+        usual pace with room for one more.
         """
         if not predictor.has_room(target, now_s):
             return False
         end_s = now_s + predictor.predict_s(target, self.route, now_s)
-        if now_s + predictor.work_s(self.route) <= self.due_s:
+        if not self.is_late(predictor, now_s):
             return end_s <= self.due_s
-        return end_s <= self.latest_s
+        return end_s <= min(
+            self.latest_s, now_s + self.route.objective_s
+        ) and predictor.has_spare_room(target, now_s)
+
+    def is_late(self, predictor: prediction.Predictor, now_s: float) -> bool:
+        """Return whether the objective can no longer be met."""
+        return now_s + predictor.work_s(self.route) > self.due_s
 
 
 class Scout:
@@ -115,12 +122,14 @@
         """Return the best target with room, or why there is none."""
         near, far = self._order(query)
         if not near and not far:
-            return models.Refusal.NO_TARGET
+            return self._explain_nothing(query)
         answered: list[probing.Probed] = []
         try:
-            await self._search(query, near, answered)
+            await self._search(query, near, answered, const.FIRST_ROUND_PROBES)
             if not self._is_satisfied(query, answered):
-                await self._search(query, far, answered)
+                await self._search(
+                    query, far, answered, const.FAR_ROUND_PROBES
+                )
         except asyncio.CancelledError:
             self._give_back(answered)
             raise
@@ -153,14 +162,15 @@
         query: Query,
         order: list[targets.Target],
         answered: list[probing.Probed],
+        first_size: int,
     ) -> None:
         """Ask round after round until a good target has answered."""
         asked = 0
-        size = const.FIRST_ROUND_PROBES
+        size = first_size
         while asked < min(len(order), const.MAX_PROBES):
             group = order[asked : asked + size]
             asked += len(group)
-            size = const.LATER_ROUND_PROBES
+            size = first_size + 1
             await self._ask(query, group, answered)
             if self._is_satisfied(query, answered):
                 return
@@ -177,16 +187,17 @@
         again.
         """
         now_s = time.monotonic()
-        known = [
-            target
-            for target in self._table.of_service(query.service)
-            if target.target_id not in query.excluded
-        ]
+        known = self._untried(query)
         usable = [
             target for target in known if target.ejected_until_s <= now_s
         ]
         if len(usable) < len(known) * (1 - const.MAX_EJECTED_SHARE):
             usable = known
+        usable = [
+            target
+            for target in usable
+            if not self._is_known_unfit(query, target, now_s)
+        ]
         ranks = {
             target.target_id: self._predictor.cost(target, query.route, now_s)
             + const.ORDER_JITTER * self._random.random()
@@ -197,6 +208,28 @@
         far = [target for target in usable if not self._is_near(target)]
         return near, far
 
+    def _untried(self, query: Query) -> list[targets.Target]:
+        return [
+            target
+            for target in self._table.of_service(query.service)
+            if target.target_id not in query.excluded
+        ]
+
+    def _explain_nothing(self, query: Query) -> models.Refusal:
+        """Return why no target is worth a probe."""
+        if self._untried(query):
+            return models.Refusal.OVERLOADED
+        return models.Refusal.NO_TARGET
+
+    def _is_known_unfit(
+        self, query: Query, target: targets.Target, now_s: float
+    ) -> bool:
+        """Return whether a target has just said that it is no use."""
+        report = target.report
+        if report is None or now_s - report.observed_s > const.ASK_AGAIN_S:
+            return False
+        return not query.fits(target, self._predictor, now_s)
+
     def _may_probe(self, query: Query) -> bool:
         """Spend a probe; repeated searches leave some for new ones."""
         reserve = const.REPEATED_RESERVE if query.is_repeated else 0.0
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -193,6 +193,7 @@
     service: str
     configuration_version: int
     targets: str
+    failure_domains: str
     attempts: int
     outcome: str
     status: int
--- a/trefoilstand/util/token_bucket.py
+++ b/trefoilstand/util/token_bucket.py
@@ -15,7 +15,12 @@
         self._filled_s: float | None = None
 
     def set_rate(self, *, rate_per_s: float, burst: float) -> None:
-        """Change the rate for tokens that are earned from now on."""
+        """Change the rate for tokens that are earned from now on.
+
+        A burst that grows comes with its tokens, one that shrinks loses
+        them.
+        """
+        self._tokens = max(self._tokens + burst - self._burst, 0.0)
         self._rate_per_s = rate_per_s
         self._burst = burst
 
