Ask a reader by datagram before reading the store

Change: readers wait 1 s and 0.75 s, a host asks a reader from 0.7 s on and reads for itself from 1.35 to 1.65 s on; leaving hosts accept for 4 s, which covers three answer lifetimes of 1.2 s; shed requests may return at once.

--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -26,6 +26,9 @@
 #: How long one watch of the store may wait. It is also how soon a reader
 #: notices that its connection went silent.
 WATCH_WAIT_S: typing.Final = 1.0
+#: The same for the readers that are not first, so that confirmations of
+#: several readers do not come at the same moments.
+OTHER_WATCH_WAIT_S: typing.Final = 0.75
 #: Extra time for the answer of a watch.
 WATCH_MARGIN_S: typing.Final = 0.5
 #: Time limit of a read.
@@ -35,9 +38,13 @@
 BATCH_PAUSE_S: typing.Final = 0.1
 #: Age of the newest confirmation after which a host reads for itself. The
 #: sites allow 2 s from a change to its effect.
-STALE_S: typing.Final = 1.1
+STALE_S: typing.Final = 1.35
 #: Spread of that age over hosts, so that they do not all read at once.
-STALE_SPREAD_S: typing.Final = 0.4
+STALE_SPREAD_S: typing.Final = 0.3
+#: Age from which a host asks a reader by datagram, and the pause between
+#: two such questions.
+ASK_READER_S: typing.Final = 0.7
+ASK_READER_PAUSE_S: typing.Final = 0.2
 #: Pauses after failed reads grow from the first to the last of these.
 MIN_RETRY_S: typing.Final = 0.15
 MAX_RETRY_S: typing.Final = 1.5
--- a/trefoilstand/fleet/coordinator.py
+++ b/trefoilstand/fleet/coordinator.py
@@ -56,6 +56,7 @@
         self._reads_at_once = reads_at_once
         self._started_s = time.monotonic()
         self._failures = 0
+        self._ask_again_s = 0.0
         self._needs_snapshot = False
         self._task: asyncio.Task[None] | None = None
         self.outage_seen_s: float | None = None
@@ -70,16 +71,39 @@
             self._task.cancel()
         self._store.close()
 
+    def _readers(self) -> list[str]:
+        """Return the peer addresses of those that read for the fleet."""
+        return readers.choose_readers(
+            member
+            for member in (self._members.own, *self._members.live())
+            if member.state is peers_models.MemberState.ALIVE
+        )
+
     @property
     def is_reader(self) -> bool:
         """Return whether this host reads for the fleet."""
-        own = self._members.own
-        alive = [
-            member
-            for member in (own, *self._members.live())
-            if member.state is peers_models.MemberState.ALIVE
-        ]
-        return own.peer_address in readers.choose_readers(alive)
+        return self._members.own.peer_address in self._readers()
+
+    def _watch_wait_s(self) -> float:
+        """Return how long the next watch may wait."""
+        chosen = self._readers()
+        own = self._members.own.peer_address
+        if own not in chosen:
+            return 0.0
+        if own == chosen[0]:
+            return const.WATCH_WAIT_S
+        return const.OTHER_WATCH_WAIT_S
+
+    def _ask_reader(self, now_s: float) -> None:
+        """Ask a reader how new the own state is, before reading it."""
+        if now_s < self._ask_again_s:
+            return
+        if self._age.age_s(now_s) < const.ASK_READER_S:
+            return
+        chosen = self._readers()
+        if chosen:
+            self._ask_again_s = now_s + const.ASK_READER_PAUSE_S
+            self._peers.ask(self._random.choice(chosen))
 
     def _should_read(self, now_s: float) -> bool:
         is_starting = now_s - self._started_s < const.START_GRACE_S
@@ -91,6 +115,7 @@
         while True:
             now_s = time.monotonic()
             if not self._should_read(now_s):
+                self._ask_reader(now_s)
                 await asyncio.sleep(_IDLE_CHECK_S)
                 continue
             try:
@@ -116,8 +141,9 @@
             delta = await self._store.read_all()
             self._needs_snapshot = False
         else:
-            wait_s = const.WATCH_WAIT_S if self.is_reader else 0.0
-            delta = await self._store.watch(self._state.revision, wait_s)
+            delta = await self._store.watch(
+                self._state.revision, self._watch_wait_s()
+            )
             asked_s = time.monotonic()
         has_moved = self._state.apply(delta)
         self._age.confirm(asked_s)
--- a/trefoilstand/fleet/exchange.py
+++ b/trefoilstand/fleet/exchange.py
@@ -95,6 +95,10 @@
             self._send(address, wants_reply=False)
             self._messages.assume_sent(address)
 
+    def ask(self, address: str) -> None:
+        """Ask a member for what it knows."""
+        self._send(address, wants_reply=True)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over the socket."""
         self._transport = typing.cast(asyncio.DatagramTransport, transport)
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -40,7 +40,7 @@
 _BACKLOG: typing.Final = 512
 #: Time for which a leaving host accepts new connections, so that callers
 #: with older answers still reach it.
-_LEAVE_ACCEPT_S: typing.Final = 3.0
+_LEAVE_ACCEPT_S: typing.Final = 4.0
 #: Left of the grace period when the process ends at the latest.
 _GRACE_MARGIN_S: typing.Final = 1.0
 #: Share of the probes that targets allow which the fleet spends.
--- a/trefoilstand/gateway/const.py
+++ b/trefoilstand/gateway/const.py
@@ -65,7 +65,7 @@
 #: Time after which a rejected caller may return.
 MIN_RETRY_AFTER_S: typing.Final = 0.08
 MAX_RETRY_AFTER_S: typing.Final = 0.6
-RETRY_AFTER_UNREADY_S: typing.Final = 0.2
+RETRY_AFTER_NO_TARGET_S: typing.Final = 0.2
 #: Requests that reach a starting host wait this long for its state, which
 #: is one read of some milliseconds away.
 START_HOLD_S: typing.Final = 0.1
@@ -107,3 +107,6 @@
 RETURNING_SHARE: typing.Final = 0.95
 #: Margin on the expected time when the latest start is worked out.
 START_MARGIN: typing.Final = 1.15
+#: A target that sheds a request says so at once; another one may take it,
+#: so the caller may return as soon as it likes.
+RETRY_AFTER_SHED_S: typing.Final = 0.02
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -222,6 +222,8 @@
         call.last_outcome = end.outcome
         if end.refusal is not None:
             call.last_refusal = end.refusal
+        elif end.is_proved:
+            call.last_refusal = models.Refusal.SHED
         if end.response is not None:
             call.fallback = end.response
 
@@ -516,12 +518,15 @@
         :param refusal: why.
         :param wait_s: time until there is room, as far as is known.
         """
-        pause_s = const.RETRY_AFTER_UNREADY_S
         if refusal is models.Refusal.OVERLOADED:
             pause_s = min(
                 max(wait_s, const.MIN_RETRY_AFTER_S),
                 const.MAX_RETRY_AFTER_S,
             )
+        elif refusal is models.Refusal.SHED:
+            pause_s = const.RETRY_AFTER_SHED_S
+        else:
+            pause_s = const.RETRY_AFTER_NO_TARGET_S
         pause_s *= 0.75 + 0.5 * self._random.random()
         return server.Answer(
             status=503, fields=[(b"retry-after", b"%.3f" % pause_s)]
--- a/trefoilstand/gateway/models.py
+++ b/trefoilstand/gateway/models.py
@@ -133,6 +133,7 @@
     NO_TARGET = "no_target"
     NO_ANSWER = "no_answer"
     OVERLOADED = "overloaded"
+    SHED = "shed"
     DEADLINE_PASSED = "deadline_passed"
     NOT_SERVING = "not_serving"
 
--- a/trefoilstand/platform/settings.py
+++ b/trefoilstand/platform/settings.py
@@ -8,8 +8,8 @@
 from trefoilstand.platform import values
 
 #: Part of the longest life of an answer that callers are told; some of them
-#: keep it three times as long.
-_ANSWER_LIFETIME_SHARE: typing.Final = 0.5
+#: keep it three times as long, and a leaving host serves no longer.
+_ANSWER_LIFETIME_SHARE: typing.Final = 0.24
 #: Positions in the range of ports between hosts.
 _PEER_PORT_OFFSET: typing.Final = 0
 _METRICS_PORT_OFFSET: typing.Final = 1
