--- /dev/null
+++ b/features/support/scripted_http.py
@@ -0,0 +1,300 @@
+"""Scripted targets and a forwarder on loopback for one scenario."""
+
+import asyncio
+import random
+import re
+import socket
+import struct
+
+from trefoilstand.fleet import models as fleet_models
+from trefoilstand.gateway import forwarding
+from trefoilstand.gateway import models
+from trefoilstand.gateway import pool
+from trefoilstand.gateway import prediction
+from trefoilstand.gateway import probing
+from trefoilstand.gateway import retry_budget
+from trefoilstand.gateway import routing
+from trefoilstand.gateway import scout
+from trefoilstand.gateway import state
+from trefoilstand.http import server
+from trefoilstand.platform import decoder
+from trefoilstand.platform import dialect
+from trefoilstand.util import token_bucket
+
+OWN_DOMAIN = "near"
+
+
+def answer(request_id, body=b"done", status=200, extra=b"", stamp=True):
+    lines = [f"HTTP/1.1 {status} X".encode()]
+    if request_id is not None:
+        lines.append(b"Request-Id: " + request_id)
+    if stamp:
+        lines.append(b"Server-Stamp: s")
+    lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n" + extra + b"\r\n" + body
+
+
+class ScriptedTarget:
+    """Answer requests in the way that a scenario names."""
+
+    def __init__(self, *, target_id, manner, load=b"0,0,6,100", domain=None):
+        self.target_id = target_id
+        self.manner = manner
+        self.load = load
+        self.domain = domain or OWN_DOMAIN
+        self.runs = []
+        self.requests = []
+        self.probes = 0
+        self.closed = asyncio.Event()
+        self.health_delay_s = 0.0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self):
+        self._server.close()
+
+    def record(self, service="quotes", state_=models.TargetState.READY):
+        return models.TargetRecord(
+            target_id=self.target_id,
+            incarnation=1,
+            service=service,
+            ip="127.0.0.1",
+            port=self.port,
+            failure_domain=self.domain,
+            slots=6,
+            state=state_,
+            warmup_left_s=0.0,
+        )
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"(?i)content-length: (\d+)", head)
+                body = b""
+                if length:
+                    body = await reader.readexactly(int(length[1]))
+                if head.startswith(b"GET /health"):
+                    self.probes += 1
+                    await asyncio.sleep(self.health_delay_s)
+                    writer.write(self._health())
+                    continue
+                self.requests.append(head + body)
+                found = re.search(rb"(?i)request-id: (\S+)", head)
+                request_id = found[1] if found else None
+                await getattr(self, f"_{self.manner}")(
+                    request_id, reader, writer
+                )
+        except (OSError, asyncio.IncompleteReadError):
+            self.closed.set()
+        finally:
+            writer.close()
+
+    def _health(self):
+        return (
+            b"HTTP/1.1 200 OK\r\nInstance-Id: "
+            + self.target_id.encode()
+            + b"\r\nServer-Load: "
+            + self.load
+            + b"\r\nContent-Length: 0\r\n\r\n"
+        )
+
+    async def _whole(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(answer(request_id))
+
+    async def _error(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(answer(request_id, body=b"sorry", status=500))
+
+    async def _slow(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        await asyncio.sleep(0.2)
+        writer.write(answer(request_id))
+
+    async def _silent(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        await reader.read(1)
+        self.closed.set()
+
+    async def _reset(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        _reset(writer)
+
+    async def _cut(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(answer(request_id)[:-2])
+        await writer.drain()
+        writer.close()
+
+    async def _unframed(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: "
+            + request_id
+            + b"\r\n\r\ndone"
+        )
+        await writer.drain()
+        writer.close()
+
+    async def _unframed_reset(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: "
+            + request_id
+            + b"\r\n\r\ndo"
+        )
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        _reset(writer)
+
+    async def _foreign_first(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(answer(b"other", body=b"foreign") + answer(request_id))
+
+    async def _foreign_only(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(answer(b"other", body=b"foreign"))
+        await writer.drain()
+        writer.close()
+
+    async def _twice(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(answer(request_id) + answer(request_id, body=b"again"))
+
+    async def _noise(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(b"\x00\x01 no answer\r\n\r\n")
+
+    async def _unsigned(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(answer(request_id, stamp=False))
+
+    async def _encoded(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(answer(request_id, extra=b"Content-Encoding: gzip\r\n"))
+
+    async def _shed(self, request_id, reader, writer):
+        writer.write(
+            answer(request_id, status=503, extra=b"Not-Executed: 1\r\n")
+        )
+
+    async def _misdirected(self, request_id, reader, writer):
+        writer.write(answer(request_id, status=421, stamp=False))
+
+
+def _reset(writer):
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
+def make_route(*, is_idempotent, timeout_s=0.5, attempts=2, priority=1):
+    return models.Route(
+        name="r",
+        host="app.example",
+        prefix="/q/",
+        is_idempotent=is_idempotent,
+        timeout_s=timeout_s,
+        objective_s=timeout_s / 2,
+        max_attempts=attempts,
+        priority=priority,
+        parts=(models.WeightedService(service="quotes", weight=1.0),),
+    )
+
+
+class Bench:
+    """Wire a forwarder to scripted targets."""
+
+    def __init__(self, *, targets, route, allowance=100.0):
+        self.targets = targets
+        source = random.Random(5)
+        self.links = pool.LinkPool(local_ip=None)
+        self.state = state.GatewayState(
+            decoder=decoder.StoreDecoder(),
+            links=self.links,
+            retry_terms=retry_budget.BudgetTerms(
+                ratio=0.2, allowance=allowance, window_s=10.0
+            ),
+            random_source=source,
+        )
+        predictor = prediction.Predictor()
+        speaks = dialect.PlatformDialect()
+        self.prober = probing.Prober(links=self.links, dialect=speaks)
+        self.scout = scout.Scout(
+            table=self.state.targets,
+            links=self.links,
+            prober=self.prober,
+            predictor=predictor,
+            budget=token_bucket.TokenBucket(rate_per_s=1e4, burst=1e4),
+            random_source=source,
+            own_domain=OWN_DOMAIN,
+        )
+        self.forwarder = forwarding.Forwarder(
+            current=self.state,
+            finder=self.scout,
+            links=self.links,
+            dialect=speaks,
+            predictor=predictor,
+            random_source=source,
+        )
+        self.state.configuration = models.GatewayConfiguration(
+            version=1, routes={"r": route}, services={}, limits=server.Limits()
+        )
+        self.state.routes = routing.RouteTable(routes={"r": route})
+        self.server = server.Server(handler=self.forwarder)
+
+    async def start(self):
+        for target in self.targets:
+            await target.start()
+            self.state.registry.set(target.record())
+        self.apply()
+        await self.server.start(ip="127.0.0.1", port=0, backlog=64)
+        self.port = self.server.port
+
+    def apply(self):
+        self.state.take_items(
+            [fleet_models.Item(key="servers/none", revision=1, value=None)]
+        )
+
+    def stop(self):
+        self.server.stop_listening()
+        self.links.close()
+        for target in self.targets:
+            target.stop()
+
+
+def request_bytes(
+    request_id=b"a1", method=b"GET", path=b"/q/x", deadline_ms=500, more=b""
+):
+    return (
+        method
+        + b" "
+        + path
+        + b" HTTP/1.1\r\nHost: app.example\r\nRequest-Id: "
+        + request_id
+        + b"\r\nDeadline-Ms: %d\r\n" % deadline_ms
+        + more
+        + b"\r\n"
+    )
+
+
+async def read_answer(reader):
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
+    length = re.search(rb"(?i)content-length: (\d+)", head)
+    body = await reader.readexactly(int(length[1])) if length else b""
+    return int(head.split()[1]), head.lower(), body
+
+
+async def ask(port, data):
+    """Send bytes on a new connection and return the answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write(data)
+        return await read_answer(reader)
+    finally:
+        writer.close()
--- a/trefoilstand/http/server.py
+++ b/trefoilstand/http/server.py
@@ -277,6 +277,13 @@
             reuse_address=True,
         )
 
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on, 0 while none is."""
+        if self._server is None:
+            return 0
+        return int(self._server.sockets[0].getsockname()[1])
+
     def stop_listening(self) -> None:
         """Accept no further connections."""
         if self._server is not None:
