--- a/trefoilstand/fleet/replica.py
+++ b/trefoilstand/fleet/replica.py
@@ -100,6 +100,9 @@
             )
             if self._set(removal):
                 changed.append(removal)
+        # Removals before the snapshot are not known here, so that copies
+        # which are further behind need a snapshot as well.
+        self._horizon = max(self._horizon, delta.up_to_revision)
         return changed
 
     def _set(self, item: models.Item) -> bool:
