Serve metrics of the gateway

Change: counters and latency histograms by service, status and outcome, and gauges of state, membership and probes, on port 9464 of the host's address (deploy/system.toml).

--- a/features/support/scripted_http.py
+++ b/features/support/scripted_http.py
@@ -19,6 +19,7 @@
 from trefoilstand.http import server
 from trefoilstand.platform import decoder
 from trefoilstand.platform import dialect
+from trefoilstand.telemetry import tally
 from trefoilstand.util import token_bucket
 
 OWN_DOMAIN = "near"
@@ -240,6 +241,7 @@
             links=self.links,
             dialect=speaks,
             predictor=predictor,
+            counts=tally.Tally(),
             random_source=source,
         )
         self.state.configuration = models.GatewayConfiguration(
--- a/trefoilstand/fleet/coordinator.py
+++ b/trefoilstand/fleet/coordinator.py
@@ -57,6 +57,7 @@
         self._started_s = time.monotonic()
         self._failures = 0
         self._ask_again_s = 0.0
+        self.reads = 0
         self._needs_snapshot = False
         self._task: asyncio.Task[None] | None = None
         self.outage_seen_s: float | None = None
@@ -137,6 +138,7 @@
     async def _read_once(self) -> bool:
         """Read a snapshot or wait for changes; return whether any came."""
         asked_s = time.monotonic()
+        self.reads += 1
         if self._needs_snapshot or not self._state.revision:
             delta = await self._store.read_all()
             self._needs_snapshot = False
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -30,6 +30,7 @@
 from trefoilstand.peers import membership
 from trefoilstand.peers import models as peers_models
 from trefoilstand.telemetry import events
+from trefoilstand.telemetry import tally
 from trefoilstand.util import clock as clocks
 from trefoilstand.util import token_bucket
 
@@ -46,6 +47,8 @@
 #: Share of the probes that targets allow which the fleet spends.
 _PROBE_SHARE: typing.Final = 0.8
 _PROBE_BURST_S: typing.Final = 8.0
+#: Age shown before the first confirmation.
+_MAX_REPORTED_AGE_S: typing.Final = 1e6
 
 
 class Phase(enum.StrEnum):
@@ -79,6 +82,7 @@
         self._settings = settings
         self._random = random_source
         self.phase = Phase.STARTING
+        self.counts = tally.Tally()
         self.links = pool.LinkPool(local_ip=settings.caller_endpoint.ip)
         self.state = state.GatewayState(
             decoder=decoder,
@@ -157,6 +161,7 @@
             links=self.links,
             dialect=dialect,
             predictor=predictor,
+            counts=self.counts,
             random_source=self._random,
         )
         self.caller_server = server.Server(handler=self.forwarder)
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -8,6 +8,7 @@
 
 from trefoilstand.gateway import const
 from trefoilstand.gateway import dialect as dialects
+from trefoilstand.gateway import metrics_page
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
@@ -20,6 +21,7 @@
 from trefoilstand.http import server
 from trefoilstand.http import wire
 from trefoilstand.telemetry import events
+from trefoilstand.telemetry import tally
 
 _FIRST_SERVER_ERROR: typing.Final = 500
 _MS_PER_S: typing.Final = 1000
@@ -86,6 +88,7 @@
     :param links: connections to targets.
     :param dialect: names on the wire.
     :param predictor: learns working times.
+    :param counts: counts requests and attempts.
     :param random_source: spreads the return of rejected callers.
     """
 
@@ -97,6 +100,7 @@
         links: pool.LinkPool,
         dialect: dialects.Dialect,
         predictor: prediction.Predictor,
+        counts: tally.Tally,
         random_source: random.Random,
     ) -> None:
         self._state = current
@@ -104,6 +108,7 @@
         self._links = links
         self._dialect = dialect
         self._predictor = predictor
+        self._counts = counts
         self._random = random_source
         self._budgets: dict[str, retry_budget.FleetRetryBudget] = {}
         self._rooms: dict[str, waiting.WaitingRoom] = {}
@@ -241,7 +246,10 @@
             return False
         if call.latest_s - now_s < const.MIN_ATTEMPT_S:
             return False
-        return self._budget(call.service).take(now_s, self._state.hosts)
+        if not self._budget(call.service).take(now_s, self._state.hosts):
+            return False
+        self._counts.count(metrics_page.REPEATS, service=call.service)
+        return True
 
     def _hedge_delay_s(self, call: _Call) -> float:
         """Return when a second send is worth its cost."""
@@ -409,6 +417,9 @@
             if end is not None and end.is_proved:
                 call.may_have_run = had_run
             self._give_back(call.service, placement)
+        self._counts.count(
+            metrics_page.ATTEMPTS, service=call.service, outcome=end.outcome
+        )
         return end
 
     def _judge(
@@ -500,6 +511,12 @@
             if refusal is models.Refusal.NO_ROUTE
             else self._rejection(refusal)
         )
+        self._counts.count(
+            metrics_page.REQUESTS,
+            service="",
+            status=str(answer.status),
+            outcome=refusal,
+        )
         events.info(
             events.RequestRejected(
                 request_id=self._request_id(request),
@@ -551,6 +568,16 @@
 
     def _log(self, call: _Call, answer: server.Answer) -> None:
         now_s = time.monotonic()
+        latency_ms = (now_s - call.request.arrived_s) * _MS_PER_S
+        self._counts.count(
+            metrics_page.REQUESTS,
+            service=call.service,
+            status=str(answer.status),
+            outcome=call.last_outcome,
+        )
+        self._counts.observe(
+            metrics_page.REQUEST_LATENCY, latency_ms, service=call.service
+        )
         events.info(
             events.RequestEnded(
                 request_id=self._request_id(call.request),
@@ -567,9 +594,7 @@
                 report_age_ms=None
                 if call.report_age_s is None
                 else round(call.report_age_s * _MS_PER_S, 1),
-                latency_ms=round(
-                    (now_s - call.request.arrived_s) * _MS_PER_S, 1
-                ),
+                latency_ms=round(latency_ms, 1),
             )
         )
 
--- a/trefoilstand/platform/settings.py
+++ b/trefoilstand/platform/settings.py
@@ -10,9 +10,10 @@
 #: Part of the longest life of an answer that callers are told; some of them
 #: keep it three times as long, and a leaving host serves no longer.
 _ANSWER_LIFETIME_SHARE: typing.Final = 0.24
-#: Positions in the range of ports between hosts.
+#: Position in the range of ports between hosts.
 _PEER_PORT_OFFSET: typing.Final = 0
-_METRICS_PORT_OFFSET: typing.Final = 1
+#: The deploy file names the same port.
+_METRICS_PORT: typing.Final = 9464
 
 
 class PlatformSettingsError(exceptions.TrefoilstandError):
@@ -52,9 +53,7 @@
         readiness_endpoint=_endpoint(listen["ready"]),
         directory_endpoint=_endpoint(directory) if directory else None,
         peer_endpoint=settings.Endpoint(ip=ip, port=peer_port),
-        metrics_endpoint=settings.Endpoint(
-            ip=ip, port=first_port + _METRICS_PORT_OFFSET
-        ),
+        metrics_endpoint=settings.Endpoint(ip=ip, port=_METRICS_PORT),
         seeds=seeds,
         store_endpoint=_endpoint(raw["platform"]["address"]),
         is_first_start=bool(raw.get("bootstrap")),
