--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -7,6 +7,8 @@
 from behave import when
 
 from features.support import scripted_http
+from trefoilstand.gateway import metrics_page
+from trefoilstand.http import models
 
 
 def _target(name, manner):
@@ -222,3 +224,39 @@
 def check_single(context):
     sent = sum(len(target.requests) for target in context.targets)
     assert sent == 20, sent
+
+
+@when("{count:d} requests are sent and the metrics are read")
+def ask_and_read_metrics(context, count):
+    async def work(bench):
+        for number in range(count):
+            await scripted_http.ask(
+                bench.port,
+                scripted_http.request_bytes(request_id=b"n%d" % number),
+            )
+        page = metrics_page.MetricsPage(
+            counts=bench.counts, gauges=lambda: {"trefoilstand_targets": 1.0}
+        )
+        return await page.handle(
+            models.Request(
+                method=b"GET",
+                target=b"/metrics",
+                fields=[],
+                body=b"",
+                arrived_s=0.0,
+            )
+        )
+
+    context.metrics = _run(context, work).body.decode()
+
+
+@then("the metrics tell of {count:d} answered requests and their latencies")
+def check_metrics(context, count):
+    requests = (
+        'trefoilstand_requests_total{outcome="answered",'
+        f'service="quotes",status="200"}} {count}'
+    )
+    assert requests in context.metrics, context.metrics
+    latencies = f'latency_ms_count{{service="quotes"}} {count}'
+    assert latencies in context.metrics, context.metrics
+    assert "trefoilstand_targets 1" in context.metrics, context.metrics
--- a/features/support/scripted_http.py
+++ b/features/support/scripted_http.py
@@ -213,6 +213,7 @@
 
     def __init__(self, *, targets, route, allowance=100.0):
         self.targets = targets
+        self.counts = tally.Tally()
         source = random.Random(5)
         self.links = pool.LinkPool(local_ip=None)
         self.state = state.GatewayState(
@@ -241,7 +242,7 @@
             links=self.links,
             dialect=speaks,
             predictor=predictor,
-            counts=tally.Tally(),
+            counts=self.counts,
             random_source=source,
         )
         self.state.configuration = models.GatewayConfiguration(
--- a/trefoilstand/gateway/metrics_page.py
+++ b/trefoilstand/gateway/metrics_page.py
@@ -79,7 +79,7 @@
             latencies[name].set_value(dict(labels), series)
         for name, present in self._gauges().items():
             collectors.Gauge(name, "Present value.", registry=registry).set(
-                {}, value
+                {}, present
             )
         content, headers = renderer.render(registry, ["*/*"])
         return content, headers["Content-Type"]
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -212,6 +212,9 @@
     source: str
 
 
+_names: dict[type[Event], str] = {}
+
+
 def set_up(handler: standard_logging.Handler | None = None) -> None:
     """Write JSON lines.
 
@@ -257,5 +260,11 @@
 
 
 def _write(level: int, event: Event) -> None:
-    name = _WORD_START.sub("_", type(event).__name__).lower()
-    logging.get_absl_logger().log(level, name, extra=dataclasses.asdict(event))
+    kind = type(event)
+    name = _names.get(kind)
+    if name is None:
+        name = _WORD_START.sub("_", kind.__name__).lower()
+        _names[kind] = name
+    # Fields are flat, so a deep copy as by dataclasses.asdict is not needed.
+    fields = {key: getattr(event, key) for key in kind.__dataclass_fields__}
+    logging.get_absl_logger().log(level, name, extra=fields)
