--- a/features/steps/callers_edge_steps.py
+++ b/features/steps/callers_edge_steps.py
@@ -4,6 +4,7 @@
 from behave import given
 from behave import then
 from behave import when
+import uvloop
 
 from features.support import scripted_http
 from trefoilstand.http import server
@@ -66,7 +67,7 @@
             writer.close()
             listener.stop_listening()
 
-    return asyncio.run(whole())
+    return uvloop.run(whole())
 
 
 @given("a server that echoes requests")
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -5,6 +5,7 @@
 from behave import given
 from behave import then
 from behave import when
+import uvloop
 
 from features.support import scripted_http
 from trefoilstand.gateway import metrics_page
@@ -40,7 +41,7 @@
         finally:
             bench.stop()
 
-    return asyncio.run(whole())
+    return uvloop.run(whole())
 
 
 @given("a target that answers {manner} and one that answers whole")
--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -35,7 +35,7 @@
 READ_TIMEOUT_S: typing.Final = 1.0
 #: Pause after a watch that brought changes, so that further changes come
 #: with the next one.
-BATCH_PAUSE_S: typing.Final = 0.1
+BATCH_PAUSE_S: typing.Final = 0.25
 #: Age of the newest confirmation after which a host reads for itself. The
 #: sites allow 2 s from a change to its effect.
 STALE_S: typing.Final = 1.35
--- a/trefoilstand/platform/daemon.py
+++ b/trefoilstand/platform/daemon.py
@@ -9,6 +9,8 @@
 import sys
 import typing
 
+import uvloop
+
 from trefoilstand.gateway import application
 from trefoilstand.platform import decoder
 from trefoilstand.platform import dialect
@@ -111,7 +113,7 @@
     events.set_up(stream.BoundedStreamHandler(descriptor=1))
     path = pathlib.Path(os.environ[_SETTINGS_VARIABLE])
     try:
-        asyncio.run(run(path))
+        uvloop.run(run(path))
     except (OSError, settings.PlatformSettingsError) as error:
         events.error(
             events.ComponentFailed(
