--- /dev/null
+++ b/features/gateway/policies.feature
@@ -0,0 +1,68 @@
+Feature: Decisions of the gateway
+
+  Scenario Outline: The route with the longest prefix is taken
+    Given routes with the prefixes /, /a/, /a/b/ and /c/
+    Then the path <path> takes the prefix <prefix>
+
+    Examples:
+      | path     | prefix |
+      | /a/b/c   | /a/b/  |
+      | /a/b/    | /a/b/  |
+      | /a/b     | /a/    |
+      | /ab      | /      |
+      | /c/x?q=/ | /c/    |
+
+  Scenario Outline: Shares of a split hold over few requests
+    Given a route that is split <weights>
+    When <count> requests take it
+    Then each part has its share within 2 requests
+
+    Examples:
+      | weights  | count |
+      | 90,10    | 50    |
+      | 50,30,20 | 40    |
+      | 1,1      | 7     |
+
+  Scenario Outline: Repeats of a fleet stay in the budget
+    Given <hosts> hosts that share a budget of 0.2 and 56 in 10 s
+    When each gets <rate> requests a second and repeats all it may
+    Then no window of 10 s has more repeats than the budget
+
+    Examples:
+      | hosts | rate |
+      | 1     | 200  |
+      | 13    | 30   |
+      | 141   | 3    |
+
+  Scenario: Callers that return are told from new ones
+    Given a route whose callers come with 1200 ms
+    Then a caller with 800 ms has waited 400 ms
+    And a caller with 1180 ms has waited 0 ms
+
+  Scenario: Callers with times of their own are not taken for returning
+    Given a route whose callers come with 300 to 1200 ms
+    Then a caller with 800 ms has waited 0 ms
+
+  Scenario Outline: The slowdown of nearly full targets is learned
+    Given a service whose targets work <factor> times as long when nearly full
+    When 200 requests are answered
+    Then a target with 4 slots has room for <room> requests
+
+    Examples:
+      | factor | room |
+      | 1.0    | 4    |
+      | 1.7    | 3    |
+
+  Scenario: A slow spell is predicted to end
+    Then work of 160 ms at a slowdown of 7 is predicted at 540 to 640 ms
+    And work of 20 ms at a slowdown of 7 is predicted at 135 to 145 ms
+
+  Scenario: Waiting requests are served by priority, then by slack
+    Given a queue with a late, an early and an urgent request
+    When targets with room are offered
+    Then they are served in the order urgent, early, late
+
+  Scenario: The probe budget holds in each window
+    Given a token bucket of 10 a second with a burst of 20
+    When it is asked 1000 times in 10 seconds
+    Then it gave at most 120 tokens
--- /dev/null
+++ b/features/steps/policies_steps.py
@@ -0,0 +1,243 @@
+import asyncio
+import bisect
+import collections
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import scripted_http
+from trefoilstand.gateway import models
+from trefoilstand.gateway import prediction
+from trefoilstand.gateway import retry_budget
+from trefoilstand.gateway import returning
+from trefoilstand.gateway import routing
+from trefoilstand.gateway import scout
+from trefoilstand.gateway import targets
+from trefoilstand.gateway import waiting
+from trefoilstand.util import token_bucket
+
+
+def _route(name, prefix="/", priority=1, parts=("quotes",), weights=(1.0,)):
+    return models.Route(
+        name=name,
+        host="h",
+        prefix=prefix,
+        is_idempotent=True,
+        timeout_s=1.0,
+        objective_s=0.4,
+        max_attempts=2,
+        priority=priority,
+        parts=tuple(
+            models.WeightedService(service=service, weight=weight)
+            for service, weight in zip(parts, weights, strict=True)
+        ),
+    )
+
+
+def _target(running, slots=4, now_s=0.0):
+    scripted = scripted_http.ScriptedTarget(target_id="t", manner="whole")
+    scripted.port = 1
+    found = targets.Target(record=scripted.record(), now_s=now_s)
+    found.report = _report(running, slots=slots, now_s=now_s)
+    return found
+
+
+def _report(running, slots=4, slowdown=1.0, now_s=0.0):
+    return models.LoadReport(
+        running=running,
+        waiting=0,
+        slots=slots,
+        slowdown=slowdown,
+        observed_s=now_s,
+    )
+
+
+@given("routes with the prefixes /, /a/, /a/b/ and /c/")
+def some_routes(context):
+    prefixes = ("/", "/a/", "/a/b/", "/c/")
+    context.route_table = routing.RouteTable(
+        routes={item: _route(item, prefix=item) for item in prefixes}
+    )
+
+
+@then("the path {path} takes the prefix {prefix}")
+def takes_prefix(context, path, prefix):
+    found = context.route_table.find("h", path.partition("?")[0])
+    assert found.prefix == prefix, found
+
+
+@given("a route that is split {weights}")
+def split_route(context, weights):
+    context.weights = [float(item) for item in weights.split(",")]
+    names = tuple(f"s{n}" for n in range(len(context.weights)))
+    context.route = _route("r", parts=names, weights=context.weights)
+
+
+@when("{count:d} requests take it")
+def take_split(context, count):
+    balancer = routing.SplitBalancer(random_source=random.Random(1))
+    context.chosen = collections.Counter(
+        balancer.choose(context.route) for _ in range(count)
+    )
+
+
+@then("each part has its share within {slack:d} requests")
+def check_shares(context, slack):
+    total = sum(context.chosen.values())
+    for number, weight in enumerate(context.weights):
+        wanted = total * weight / sum(context.weights)
+        assert abs(context.chosen[f"s{number}"] - wanted) <= slack
+
+
+@given("{hosts:d} hosts that share a budget of 0.2 and 56 in 10 s")
+def shared_budget(context, hosts):
+    context.budgets = [
+        retry_budget.FleetRetryBudget(
+            terms=retry_budget.BudgetTerms(
+                ratio=0.2, allowance=56.0, window_s=10.0
+            )
+        )
+        for _ in range(hosts)
+    ]
+
+
+@when("each gets {rate:d} requests a second and repeats all it may")
+def spend_all(context, rate):
+    context.requests = []
+    context.repeats = []
+    for step in range(60 * rate):
+        now_s = step / rate
+        for budget in context.budgets:
+            budget.record_request(now_s)
+            context.requests.append(now_s)
+            while budget.take(now_s, len(context.budgets)):
+                context.repeats.append(now_s)
+
+
+@then("no window of 10 s has more repeats than the budget")
+def check_windows(context):
+    for start in range(50):
+        counts = [
+            bisect.bisect_left(times, start + 10)
+            - bisect.bisect_left(times, start)
+            for times in (context.requests, context.repeats)
+        ]
+        assert counts[1] <= 0.2 * counts[0] + 56, (start, counts)
+
+
+@given("a route whose callers come with {time_ms:d} ms")
+def uniform_callers(context, time_ms):
+    context.returning = returning.ReturningCallers()
+    for _ in range(100):
+        context.returning.waited_s("r", time_ms / 1000)
+
+
+@given("a route whose callers come with {low_ms:d} to {high_ms:d} ms")
+def various_callers(context, low_ms, high_ms):
+    source = random.Random(4)
+    context.returning = returning.ReturningCallers()
+    for _ in range(200):
+        context.returning.waited_s("r", source.uniform(low_ms, high_ms) / 1000)
+
+
+@then("a caller with {time_ms:d} ms has waited {waited_ms:d} ms")
+def check_waited(context, time_ms, waited_ms):
+    waited_s = context.returning.waited_s("r", time_ms / 1000)
+    assert abs(waited_s * 1000 - waited_ms) < 1, waited_s
+
+
+@given(
+    "a service whose targets work {factor:f} times as long when nearly full"
+)
+def knee_service(context, factor):
+    context.factor = factor
+
+
+@when("{count:d} requests are answered")
+def answer_requests(context, count):
+    source = random.Random(6)
+    context.predictor = prediction.Predictor()
+    route = _route("r")
+    for _ in range(count):
+        running = source.randrange(4)
+        elapsed_s = 0.16 * source.uniform(0.8, 1.2)
+        if running == 3:
+            elapsed_s *= context.factor
+        context.predictor.learn(route, "quotes", elapsed_s, _report(running))
+
+
+@then("a target with 4 slots has room for {room:d} requests")
+def check_room(context, room):
+    assert context.predictor.room_limit(_target(0)) == room
+    assert context.predictor.has_room(_target(room - 1), 0.0)
+    assert not context.predictor.has_room(_target(room), 0.0)
+
+
+@then(
+    "work of {work_ms:d} ms at a slowdown of {slowdown:d} is predicted at "
+    "{low_ms:d} to {high_ms:d} ms"
+)
+def check_stretch(context, work_ms, slowdown, low_ms, high_ms):
+    found_ms = prediction.stretch_s(work_ms / 1000, slowdown) * 1000
+    assert low_ms <= found_ms <= high_ms, found_ms
+
+
+def _join(room, name, due_s, priority):
+    return room.join(
+        scout.Query(
+            service="quotes",
+            route=_route(name, priority=priority),
+            excluded=set(),
+            due_s=due_s,
+            latest_s=10.0,
+        ),
+        0.0,
+    )
+
+
+@given("a queue with a late, an early and an urgent request")
+def queue_of_three(context):
+    context.served = []
+
+
+@when("targets with room are offered")
+def offer_targets(context):
+    async def work():
+        room = waiting.WaitingRoom(predictor=prediction.Predictor())
+        waiters = {
+            "late": _join(room, "late", 0.0, 1),
+            "early": _join(room, "early", 5.0, 1),
+            "urgent": _join(room, "urgent", 5.0, 0),
+        }
+        for _ in range(3):
+            assert room.offer(_target(0, now_s=1.0), None, 1.0)
+            for name, waiter in list(waiters.items()):
+                if waiter.taken() is not None:
+                    context.served.append(name)
+                    room.leave(waiters.pop(name), 1.0, is_served=True)
+
+    asyncio.run(work())
+
+
+@then("they are served in the order urgent, early, late")
+def check_order(context):
+    assert context.served == ["urgent", "early", "late"], context.served
+
+
+@given("a token bucket of {rate:d} a second with a burst of {burst:d}")
+def bucket(context, rate, burst):
+    context.bucket = token_bucket.TokenBucket(rate_per_s=rate, burst=burst)
+
+
+@when("it is asked {count:d} times in {seconds:d} seconds")
+def ask_bucket(context, count, seconds):
+    context.given_tokens = sum(
+        context.bucket.take(step * seconds / count) for step in range(count)
+    )
+
+
+@then("it gave at most {limit:d} tokens")
+def check_tokens(context, limit):
+    assert 0 < context.given_tokens <= limit, context.given_tokens
--- a/features/support/scripted_http.py
+++ b/features/support/scripted_http.py
@@ -9,17 +9,20 @@
 from trefoilstand.fleet import models as fleet_models
 from trefoilstand.gateway import forwarding
 from trefoilstand.gateway import models
+from trefoilstand.gateway import placing
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import probing
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import routing
 from trefoilstand.gateway import scout
+from trefoilstand.gateway import sending
 from trefoilstand.gateway import state
 from trefoilstand.http import server
 from trefoilstand.platform import decoder
 from trefoilstand.platform import dialect
 from trefoilstand.telemetry import tally
+from trefoilstand.util import clock as clocks
 from trefoilstand.util import token_bucket
 
 OWN_DOMAIN = "near"
@@ -215,7 +218,8 @@
         self.targets = targets
         self.counts = tally.Tally()
         source = random.Random(5)
-        self.links = pool.LinkPool(local_ip=None)
+        clock = clocks.MonotonicClock()
+        self.links = pool.LinkPool(clock=clock, local_ip=None)
         self.state = state.GatewayState(
             decoder=decoder.StoreDecoder(),
             links=self.links,
@@ -226,23 +230,43 @@
         )
         predictor = prediction.Predictor()
         speaks = dialect.PlatformDialect()
-        self.prober = probing.Prober(links=self.links, dialect=speaks)
+        self.prober = probing.Prober(
+            links=self.links, dialect=speaks, clock=clock
+        )
         self.scout = scout.Scout(
             table=self.state.targets,
             links=self.links,
             prober=self.prober,
             predictor=predictor,
             budget=token_bucket.TokenBucket(rate_per_s=1e4, burst=1e4),
+            clock=clock,
             random_source=source,
             own_domain=OWN_DOMAIN,
         )
-        self.forwarder = forwarding.Forwarder(
-            current=self.state,
+        placer = placing.Placer(
+            table=self.state.targets,
             finder=self.scout,
             links=self.links,
+            predictor=predictor,
+            clock=clock,
+            random_source=source,
+        )
+        self.forwarder = forwarding.Forwarder(
+            current=self.state,
+            placer=placer,
+            sender=sending.Sender(
+                table=self.state.targets,
+                placer=placer,
+                links=self.links,
+                dialect=speaks,
+                predictor=predictor,
+                counts=self.counts,
+                clock=clock,
+            ),
             dialect=speaks,
             predictor=predictor,
             counts=self.counts,
+            clock=clock,
             random_source=source,
         )
         self.state.configuration = models.GatewayConfiguration(
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -19,11 +19,13 @@
 from trefoilstand.gateway import forwarding
 from trefoilstand.gateway import lifecycle
 from trefoilstand.gateway import models
+from trefoilstand.gateway import placing
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import probing
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import scout
+from trefoilstand.gateway import sending
 from trefoilstand.gateway import settings as gateway_settings
 from trefoilstand.gateway import state
 from trefoilstand.http import server
@@ -81,9 +83,12 @@
     ) -> None:
         self._settings = settings
         self._random = random_source
+        self._clock = clocks.MonotonicClock()
         self.phase = Phase.STARTING
         self.counts = tally.Tally()
-        self.links = pool.LinkPool(local_ip=settings.caller_endpoint.ip)
+        self.links = pool.LinkPool(
+            clock=self._clock, local_ip=settings.caller_endpoint.ip
+        )
         self.state = state.GatewayState(
             decoder=decoder,
             links=self.links,
@@ -112,7 +117,7 @@
                 incarnation=time.time_ns() // 1_000_000,
             ),
             random_source=self._random,
-            clock=clocks.MonotonicClock(),
+            clock=self._clock,
         )
         self.replica = replica.Replica()
         self.age = freshness.Freshness(random_source=self._random)
@@ -142,7 +147,9 @@
             members=self.members, random_source=self._random
         )
         predictor = prediction.Predictor()
-        self.prober = probing.Prober(links=self.links, dialect=dialect)
+        self.prober = probing.Prober(
+            links=self.links, dialect=dialect, clock=self._clock
+        )
         self._probe_budget = token_bucket.TokenBucket(
             rate_per_s=0.0, burst=0.0
         )
@@ -152,16 +159,34 @@
             prober=self.prober,
             predictor=predictor,
             budget=self._probe_budget,
+            clock=self._clock,
             random_source=self._random,
             own_domain=self._settings.failure_domain,
         )
-        self.forwarder = forwarding.Forwarder(
-            current=self.state,
+        placer = placing.Placer(
+            table=self.state.targets,
             finder=self.scout,
             links=self.links,
+            predictor=predictor,
+            clock=self._clock,
+            random_source=self._random,
+        )
+        self.forwarder = forwarding.Forwarder(
+            current=self.state,
+            placer=placer,
+            sender=sending.Sender(
+                table=self.state.targets,
+                placer=placer,
+                links=self.links,
+                dialect=dialect,
+                predictor=predictor,
+                counts=self.counts,
+                clock=self._clock,
+            ),
             dialect=dialect,
             predictor=predictor,
             counts=self.counts,
+            clock=self._clock,
             random_source=self._random,
         )
         self.caller_server = server.Server(handler=self.forwarder)
--- a/trefoilstand/gateway/const.py
+++ b/trefoilstand/gateway/const.py
@@ -105,6 +105,8 @@
 #: the part of its time that is left; smaller parts than this are first
 #: sends.
 RETURNING_SHARE: typing.Final = 0.95
+#: Weight of one request in the share that comes with the full time.
+FULL_SHARE_WEIGHT: typing.Final = 0.02
 #: Margin on the expected time when the latest start is worked out.
 START_MARGIN: typing.Final = 1.15
 #: A target that sheds a request says so at once; another one may take it,
--- a/trefoilstand/gateway/pool.py
+++ b/trefoilstand/gateway/pool.py
@@ -1,19 +1,58 @@
 """Keep connections to targets."""
 
-import time
+import abc
+import asyncio
+import typing
 
+from trefoilstand import exceptions
 from trefoilstand.gateway import const
 from trefoilstand.gateway import targets
 from trefoilstand.http import link
+from trefoilstand.http import models
+from trefoilstand.util import clock as clocks
 
 
-class LinkPool:
-    """Hold idle connections by address and incarnation of the target.
+class ForeignLinkError(exceptions.InvariantError):
+    """Represent a connection that this pool did not open."""
 
+
+class ExchangeLink(typing.Protocol):
+    """What a request needs of a connection."""
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether another request may be sent."""
+
+    def send(
+        self, data: bytes, *, matches: link.Matcher, is_head: bool = False
+    ) -> asyncio.Future[models.Response]:
+        """Send a request and return the future of its answer."""
+
+
+class LinkSource(abc.ABC):
+    """Hand out connections to targets."""
+
+    @abc.abstractmethod
+    async def acquire(self, target: targets.Target) -> ExchangeLink:
+        """Return an idle connection or open one.
+
+        :raises errors.LinkError: none could be opened.
+        """
+
+    @abc.abstractmethod
+    def release(self, target: targets.Target, used: ExchangeLink) -> None:
+        """Take a connection back, or close it if it cannot be reused."""
+
+
+class LinkPool(LinkSource):
+    """Hold idle connections by target.
+
+    :param clock: source of the time.
     :param local_ip: address that connections start from.
     """
 
-    def __init__(self, *, local_ip: str | None) -> None:
+    def __init__(self, *, clock: clocks.Clock, local_ip: str | None) -> None:
+        self._clock = clock
         self._local_ip = local_ip
         self._idle: dict[str, list[link.Link]] = {}
         self.opened = 0
@@ -26,7 +65,7 @@
 
         :raises errors.LinkError: none could be opened.
         """
-        now_s = time.monotonic()
+        now_s = self._clock.now_s()
         idle = self._idle.get(target.target_id, [])
         while idle:
             found = idle.pop()
@@ -41,8 +80,10 @@
             local_ip=self._local_ip,
         )
 
-    def release(self, target: targets.Target, used: link.Link) -> None:
+    def release(self, target: targets.Target, used: ExchangeLink) -> None:
         """Take a connection back, or close it if it cannot be reused."""
+        if not isinstance(used, link.Link):
+            raise ForeignLinkError(type(used).__name__)
         if not used.is_reusable:
             used.close()
             return
@@ -50,7 +91,7 @@
         if len(idle) >= const.MAX_IDLE_LINKS:
             used.close()
             return
-        used.idle_since_s = time.monotonic()
+        used.idle_since_s = self._clock.now_s()
         idle.append(used)
 
     def forget(self, target: targets.Target) -> None:
@@ -60,7 +101,7 @@
 
     def expire(self) -> None:
         """Close connections that have been idle for too long."""
-        now_s = time.monotonic()
+        now_s = self._clock.now_s()
         for target_id, idle in list(self._idle.items()):
             fresh = []
             for candidate in idle:
--- a/trefoilstand/gateway/probing.py
+++ b/trefoilstand/gateway/probing.py
@@ -1,8 +1,8 @@
 """Ask one target for its load on a connection that can be used next."""
 
+import abc
 import asyncio
 import dataclasses
-import time
 import typing
 
 from trefoilstand.gateway import const
@@ -13,6 +13,7 @@
 from trefoilstand.http import link
 from trefoilstand.http import models as http_models
 from trefoilstand.http import wire
+from trefoilstand.util import clock as clocks
 
 _OK: typing.Final = 200
 
@@ -27,20 +28,34 @@
     """
 
     target: targets.Target
-    link: link.Link
+    link: pool.ExchangeLink
     is_well: bool
 
 
-class Prober:
+class TargetProber(abc.ABC):
+    """Ask single targets for their load."""
+
+    @abc.abstractmethod
+    async def probe(self, target: targets.Target) -> Probed | None:
+        """Ask one target; None where it gave no usable answer."""
+
+
+class Prober(TargetProber):
     """Send health checks.
 
     :param links: connections to targets.
     :param dialect: names on the wire.
+    :param clock: source of the time.
     """
 
     def __init__(
-        self, *, links: pool.LinkPool, dialect: dialects.Dialect
+        self,
+        *,
+        links: pool.LinkPool,
+        dialect: dialects.Dialect,
+        clock: clocks.Clock,
     ) -> None:
+        self._clock = clock
         self._links = links
         self._dialect = dialect
         self.health_paths: dict[str, str] = {}
@@ -61,7 +76,7 @@
             if used is not None:
                 used.abort()
             self.failed += 1
-            target.record_failure(time.monotonic())
+            target.record_failure(self._clock.now_s())
             return None
         except asyncio.CancelledError:
             if used is not None:
@@ -76,7 +91,7 @@
         response: http_models.Response,
     ) -> Probed | None:
         """Learn from an answer and keep the connection."""
-        now_s = time.monotonic()
+        now_s = self._clock.now_s()
         identity = self._dialect.read_target_id(response)
         if identity is not None and identity != target.target_id:
             # The address belongs to another process by now.
--- a/trefoilstand/gateway/scout.py
+++ b/trefoilstand/gateway/scout.py
@@ -10,7 +10,6 @@
 import collections.abc
 import dataclasses
 import random
-import time
 
 from trefoilstand.gateway import const
 from trefoilstand.gateway import models
@@ -19,7 +18,7 @@
 from trefoilstand.gateway import probing
 from trefoilstand.gateway import targets
 from trefoilstand.http import errors
-from trefoilstand.http import link
+from trefoilstand.util import clock as clocks
 from trefoilstand.util import token_bucket
 
 
@@ -35,7 +34,7 @@
     """
 
     target: targets.Target
-    link: link.Link
+    link: pool.ExchangeLink
     predicted_s: float
     report: models.LoadReport | None
     report_age_s: float | None
@@ -94,6 +93,7 @@
     :param prober: asks single targets.
     :param predictor: expected times.
     :param budget: probes that this host may send.
+    :param clock: source of the time.
     :param random_source: breaks ties.
     :param own_domain: failure domain of this host.
     """
@@ -102,10 +102,11 @@
         self,
         *,
         table: targets.TargetTable,
-        links: pool.LinkPool,
-        prober: probing.Prober,
+        links: pool.LinkSource,
+        prober: probing.TargetProber,
         predictor: prediction.Predictor,
         budget: token_bucket.TokenBucket,
+        clock: clocks.Clock,
         random_source: random.Random,
         own_domain: str,
     ) -> None:
@@ -114,6 +115,7 @@
         self._prober = prober
         self._predictor = predictor
         self._budget = budget
+        self._clock = clock
         self._random = random_source
         self._own_domain = own_domain
         self._running: set[asyncio.Task[probing.Probed | None]] = set()
@@ -141,7 +143,7 @@
         self, query: Query, order: list[targets.Target]
     ) -> Placement | models.Refusal:
         """Choose by known reports, as when no probe may be sent."""
-        now_s = time.monotonic()
+        now_s = self._clock.now_s()
         for target in order:
             if target.failures or not query.fits(
                 target, self._predictor, now_s
@@ -150,7 +152,7 @@
             try:
                 used = await self._links.acquire(target)
             except errors.LinkError:
-                target.record_failure(time.monotonic())
+                target.record_failure(self._clock.now_s())
                 continue
             return make_placement(
                 target, used, query.route, self._predictor, now_s
@@ -174,7 +176,7 @@
             await self._ask(query, group, answered)
             if self._is_satisfied(query, answered):
                 return
-            if time.monotonic() >= query.latest_s:
+            if self._clock.now_s() >= query.latest_s:
                 return
 
     def _order(
@@ -186,7 +188,7 @@
         typical pace, so that new ones and those that recovered are asked
         again.
         """
-        now_s = time.monotonic()
+        now_s = self._clock.now_s()
         known = self._untried(query)
         usable = [
             target for target in known if target.ejected_until_s <= now_s
@@ -233,7 +235,7 @@
     def _may_probe(self, query: Query) -> bool:
         """Spend a probe; repeated searches leave some for new ones."""
         reserve = const.REPEATED_RESERVE if query.is_repeated else 0.0
-        return self._budget.take(time.monotonic(), reserve_share=reserve)
+        return self._budget.take(self._clock.now_s(), reserve_share=reserve)
 
     def _is_near(self, target: targets.Target) -> bool:
         return target.record.failure_domain == self._own_domain
@@ -254,12 +256,12 @@
             )
             self._running.add(task)
             pending.add(task)
-        until_s = time.monotonic() + const.ROUND_TIMEOUT_S
+        until_s = self._clock.now_s() + const.ROUND_TIMEOUT_S
         try:
             while pending:
                 done, pending = await asyncio.wait(
                     pending,
-                    timeout=max(until_s - time.monotonic(), 0),
+                    timeout=max(until_s - self._clock.now_s(), 0),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 if not done:
@@ -286,7 +288,7 @@
 
     def _is_ideal(self, query: Query, answered: list[probing.Probed]) -> bool:
         """Return whether waiting for more answers cannot pay."""
-        now_s = time.monotonic()
+        now_s = self._clock.now_s()
         work_s = self._predictor.work_s(query.route)
         return any(
             probed.is_well
@@ -301,7 +303,7 @@
         self, query: Query, answered: list[probing.Probed]
     ) -> bool:
         """Return whether asking further targets is not worth its cost."""
-        now_s = time.monotonic()
+        now_s = self._clock.now_s()
         return any(
             probed.is_well
             and query.fits(probed.target, self._predictor, now_s)
@@ -314,7 +316,7 @@
         self, query: Query, answered: list[probing.Probed]
     ) -> Placement | models.Refusal:
         """Keep the best connection and give the others back."""
-        now_s = time.monotonic()
+        now_s = self._clock.now_s()
         if not answered:
             return models.Refusal.NO_ANSWER
         best: probing.Probed | None = None
@@ -343,7 +345,7 @@
 
 def make_placement(
     target: targets.Target,
-    used: link.Link,
+    used: pool.ExchangeLink,
     route: models.Route,
     predictor: prediction.Predictor,
     now_s: float,
--- a/trefoilstand/gateway/state.py
+++ b/trefoilstand/gateway/state.py
@@ -80,10 +80,6 @@
         """Return the version in force, 0 before the first."""
         return self.configuration.version if self.configuration else 0
 
-    def is_eligible(self, target: targets.Target) -> bool:
-        """Return whether a target may still get new work."""
-        return self.targets.get(target.target_id) is target
-
     def take_items(self, items: list[fleet_models.Item]) -> None:
         """Put changed items of the store in force."""
         has_targets = False
--- a/trefoilstand/gateway/waiting.py
+++ b/trefoilstand/gateway/waiting.py
@@ -11,10 +11,10 @@
 
 from trefoilstand.gateway import const
 from trefoilstand.gateway import models
+from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import scout
 from trefoilstand.gateway import targets
-from trefoilstand.http import link
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -30,6 +30,12 @@
     since_s: float
     future: asyncio.Future[scout.Placement]
 
+    def taken(self) -> scout.Placement | None:
+        """Return the placement that was offered, None before that."""
+        if not self.future.done() or self.future.cancelled():
+            return None
+        return self.future.result()
+
     def rank(self, now_s: float) -> tuple[int, bool, float]:
         """Return the order in which waiting requests are served.
 
@@ -100,7 +106,7 @@
         self._served_s = now_s
 
     def offer(
-        self, target: targets.Target, used: link.Link, now_s: float
+        self, target: targets.Target, used: pool.ExchangeLink, now_s: float
     ) -> bool:
         """Hand a target to the most urgent request that it is good for.
 
