--- a/trefoilstand/assembly.py
+++ b/trefoilstand/assembly.py
@@ -27,9 +27,9 @@
 from trefoilstand.peers import models as peers_models
 from trefoilstand.peers import reports
 from trefoilstand.peers import runtime
-from trefoilstand.platform import client as platform_client
-from trefoilstand.platform import models as platform_models
-from trefoilstand.platform import watcher
+from trefoilstand.publishing import client as platform_client
+from trefoilstand.publishing import models as platform_models
+from trefoilstand.publishing import watcher
 from trefoilstand.settings import models as settings_models
 from trefoilstand.targets import exchange
 from trefoilstand.telemetry import burn
--- a/trefoilstand/cli/main.py
+++ b/trefoilstand/cli/main.py
@@ -12,6 +12,7 @@
 from trefoilstand.cli import diff
 from trefoilstand.cli import report
 from trefoilstand.cli import status
+from trefoilstand.cli import trace
 
 
 @cappa.command(name="trefoilstand")
@@ -27,6 +28,7 @@
         | report.ReportCommand
         | status.ExplainCommand
         | status.StatusCommand
+        | trace.TraceCommand
     ]
 
 
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -119,6 +119,7 @@
             random_source=self._random,
             clock=self._clock,
         )
+        self.members.add_listener(_log_member)
         self.replica = replica.Replica()
         self.age = freshness.Freshness(random_source=self._random)
         self.peers = exchange.PeerExchange(
@@ -329,6 +330,19 @@
         events.info(events.PhaseChanged(phase=phase, cause=cause))
 
 
+def _log_member(member: peers_models.Member) -> None:
+    """Log what changes of another host, but not that it is well."""
+    if member.state is peers_models.MemberState.ALIVE:
+        return
+    events.info(
+        events.MemberChanged(
+            address=member.peer_address,
+            incarnation=member.incarnation,
+            state=member.state.name.lower(),
+        )
+    )
+
+
 def _suspended_s() -> float:
     """Return for how long the machine has been suspended in all."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/trefoilstand/platform/__init__.py
+++ b/trefoilstand/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The edge towards the platform's services, which are only read."""
+"""Translate between the users' platform and the project."""
--- /dev/null
+++ b/trefoilstand/publishing/__init__.py
@@ -0,0 +1,1 @@
+"""Read what operators publish through the project's own service."""
--- a/trefoilstand/platform/client.py
+++ b/trefoilstand/publishing/client.py
@@ -4,8 +4,8 @@
 
 from trefoilstand import exceptions
 from trefoilstand.helpers import http
-from trefoilstand.platform import const
-from trefoilstand.platform import models
+from trefoilstand.publishing import const
+from trefoilstand.publishing import models
 from trefoilstand.telemetry import metrics
 
 _HOSTS_ADAPTER = pydantic.TypeAdapter(models.HostList)
--- a/trefoilstand/platform/watcher.py
+++ b/trefoilstand/publishing/watcher.py
@@ -5,9 +5,9 @@
 
 from trefoilstand.configuration import coordinator
 from trefoilstand.helpers import worker
-from trefoilstand.platform import client
-from trefoilstand.platform import const
-from trefoilstand.platform import models
+from trefoilstand.publishing import client
+from trefoilstand.publishing import const
+from trefoilstand.publishing import models
 
 HostListener = collections.abc.Callable[[models.HostList], None]
 
--- a/trefoilstand/standins/platform_service.py
+++ b/trefoilstand/standins/platform_service.py
@@ -16,7 +16,7 @@
 import cheroot.wsgi
 import werkzeug
 
-from trefoilstand.platform import const
+from trefoilstand.publishing import const
 from trefoilstand.util import address as addresses
 
 _MAX_WAIT_S: typing.Final = 60.0
