Keep repeats for requests that failed; log why there was no further attempt

Change: second sends use at most 0.6 of the budget; the request log has the reason why a failed request was not sent again.

--- a/features/gateway/policies.feature
+++ b/features/gateway/policies.feature
@@ -66,3 +66,8 @@
     Given a token bucket of 10 a second with a burst of 20
     When it is asked 1000 times in 10 seconds
     Then it gave at most 120 tokens
+
+  Scenario: Second sends leave repeats for requests that failed
+    Given 1 hosts that share a budget of 0.2 and 56 in 10 s
+    When second sends take all they may
+    Then a request that failed may still be repeated
--- a/features/steps/policies_steps.py
+++ b/features/steps/policies_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from features.support import scripted_http
+from trefoilstand.gateway import const
 from trefoilstand.gateway import models
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import retry_budget
@@ -241,3 +242,17 @@
 @then("it gave at most {limit:d} tokens")
 def check_tokens(context, limit):
     assert 0 < context.given_tokens <= limit, context.given_tokens
+
+
+@when("second sends take all they may")
+def spend_on_hedges(context):
+    budget = context.budgets[0]
+    for _ in range(100):
+        budget.record_request(1.0)
+    while budget.take(1.0, 1, share=const.HEDGE_BUDGET_SHARE):
+        pass
+
+
+@then("a request that failed may still be repeated")
+def failed_repeats(context):
+    assert context.budgets[0].take(1.0, 1)
--- a/trefoilstand/gateway/calls.py
+++ b/trefoilstand/gateway/calls.py
@@ -60,6 +60,8 @@
         attempt is better.
     :param last_refusal: why the last attempt was not sent.
     :param last_outcome: outcome of the last attempt.
+    :param final_reason: why there was no further attempt, empty after a
+        good answer.
     """
 
     request: http_models.Request
@@ -77,6 +79,7 @@
     fallback: http_models.Response | None = None
     last_refusal: models.Refusal = models.Refusal.NO_TARGET
     last_outcome: str = ""
+    final_reason: str = ""
 
     @property
     def due_s(self) -> float:
@@ -88,6 +91,7 @@
         self.last_outcome = end.outcome
         if end.refusal is not None:
             self.last_refusal = end.refusal
+            self.final_reason = end.refusal
         elif end.is_proved:
             self.last_refusal = models.Refusal.SHED
         if end.response is not None:
--- a/trefoilstand/gateway/const.py
+++ b/trefoilstand/gateway/const.py
@@ -59,6 +59,9 @@
 #: A second send starts as late as it still meets the objective, but not
 #: before the first takes this much longer than predicted.
 HEDGE_FACTOR: typing.Final = 1.15
+#: Part of the budget of repeats that second sends may use; the rest is kept
+#: for requests that failed.
+HEDGE_BUDGET_SHARE: typing.Final = 0.6
 
 #: Part of the remaining time below which no further attempt starts.
 MIN_ATTEMPT_S: typing.Final = 0.005
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -121,6 +121,7 @@
                 return await self._attempt_all(call, running)
         except TimeoutError:
             call.last_outcome = models.Outcome.TIMED_OUT
+            call.final_reason = models.FinalReason.TIME_SPENT
             return self._give_up(call)
         finally:
             for task in running:
@@ -140,7 +141,7 @@
             )
             if not done:
                 may_hedge = False
-                if self._may_repeat(call):
+                if self._may_repeat(call, share=const.HEDGE_BUDGET_SHARE):
                     running.add(self._start_attempt(call))
                 continue
             for task in done:
@@ -148,6 +149,7 @@
                 end = task.result()
                 if end.is_good and end.response is not None:
                     call.last_outcome = end.outcome
+                    call.final_reason = ""
                     return answers.pass_on(end.response)
                 call.note(end)
             if not running and self._should_retry(call, end):
@@ -158,17 +160,22 @@
         if end.refusal is not None:
             return False
         if not (end.is_proved or call.route.is_idempotent):
+            call.final_reason = models.FinalReason.NOT_IDEMPOTENT
             return False
-        return self._may_repeat(call)
+        return self._may_repeat(call, share=1.0)
 
-    def _may_repeat(self, call: calls.Call) -> bool:
+    def _may_repeat(self, call: calls.Call, *, share: float) -> bool:
         """Spend one repeat, if the call and the budget allow it."""
         now_s = self._clock.now_s()
         if call.attempts >= call.route.max_attempts:
+            call.final_reason = models.FinalReason.ATTEMPTS_SPENT
             return False
         if call.latest_s - now_s < const.MIN_ATTEMPT_S:
+            call.final_reason = models.FinalReason.TIME_SPENT
             return False
-        if not self._budget(call.service).take(now_s, self._state.hosts):
+        budget = self._budget(call.service)
+        if not budget.take(now_s, self._state.hosts, share=share):
+            call.final_reason = models.FinalReason.RETRY_BUDGET_SPENT
             return False
         self._counts.count(metrics_page.REPEATS, service=call.service)
         return True
@@ -279,6 +286,7 @@
                 failure_domains=",".join(call.tried.values()),
                 attempts=call.attempts,
                 outcome=call.last_outcome,
+                reason=call.final_reason,
                 status=answer.status,
                 predicted_ms=round(call.predicted_s * _MS_PER_S, 1),
                 load=_describe_load(call.report),
--- a/trefoilstand/gateway/models.py
+++ b/trefoilstand/gateway/models.py
@@ -149,3 +149,12 @@
     MISDIRECTED = "misdirected"
     UNKNOWN = "unknown"
     TIMED_OUT = "timed_out"
+
+
+class FinalReason(enum.StrEnum):
+    """Why a request that failed was not sent again."""
+
+    NOT_IDEMPOTENT = "not_idempotent"
+    ATTEMPTS_SPENT = "attempts_spent"
+    RETRY_BUDGET_SPENT = "retry_budget_spent"
+    TIME_SPENT = "time_spent"
--- a/trefoilstand/gateway/retry_budget.py
+++ b/trefoilstand/gateway/retry_budget.py
@@ -47,16 +47,17 @@
         self._requests.append(now_s)
         self._expire(now_s)
 
-    def take(self, now_s: float, hosts: int) -> bool:
+    def take(self, now_s: float, hosts: int, *, share: float = 1.0) -> bool:
         """Spend one repeat and return whether there was one.
 
         :param now_s: monotonic time.
         :param hosts: hosts that share the fixed allowance.
+        :param share: part of the budget that this kind of repeat may use.
         """
         self._expire(now_s)
         earned = self._terms.ratio * len(self._requests) * _RATIO_SHARE
         earned += self._terms.allowance * _ALLOWANCE_SHARE / max(hosts, 1)
-        if len(self._repeats) + 1 > earned:
+        if len(self._repeats) + 1 > earned * share:
             return False
         self._repeats.append(now_s)
         return True
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -196,6 +196,7 @@
     failure_domains: str
     attempts: int
     outcome: str
+    reason: str
     status: int
     predicted_ms: float
     load: str
