Predict the whole slowdown for work that starts during it

A slowdown lasts for all of the work that starts during it, as in our own queueing model. Ruled out: targets that are always slow (70 of 134 targets were hit). Change: prediction without persistence; no second sends while others wait; member updates are passed on 4 times instead of 8.

--- a/features/gateway/policies.feature
+++ b/features/gateway/policies.feature
@@ -53,9 +53,16 @@
       | 1.0    | 4    |
       | 1.7    | 3    |
 
-  Scenario: A slow spell is predicted to end
-    Then work of 160 ms at a slowdown of 7 is predicted at 540 to 640 ms
-    And work of 20 ms at a slowdown of 7 is predicted at 135 to 145 ms
+  Scenario Outline: Work that starts during a slowdown is slow to its end
+    Given a target with a slowdown of <slowdown>
+    Then work of 160 ms is predicted at <predicted> ms
+    And it <fits> an objective of 400 ms
+
+    Examples:
+      | slowdown | predicted | fits         |
+      | 1        | 160       | fits         |
+      | 2        | 320       | fits         |
+      | 7        | 1120      | does not fit |
 
   Scenario: Waiting requests are served by priority, then by slack
     Given a queue with a late, an early and an urgent request
--- a/features/steps/policies_steps.py
+++ b/features/steps/policies_steps.py
@@ -176,13 +176,33 @@
     assert not context.predictor.has_room(_target(room), 0.0)
 
 
-@then(
-    "work of {work_ms:d} ms at a slowdown of {slowdown:d} is predicted at "
-    "{low_ms:d} to {high_ms:d} ms"
-)
-def check_stretch(context, work_ms, slowdown, low_ms, high_ms):
-    found_ms = prediction.stretch_s(work_ms / 1000, slowdown) * 1000
-    assert low_ms <= found_ms <= high_ms, found_ms
+@given("a target with a slowdown of {slowdown:d}")
+def slow_target(context, slowdown):
+    context.target = _target(0)
+    context.target.report = _report(0, slowdown=float(slowdown))
+    context.predictor = prediction.Predictor()
+    context.route = _route("r")
+    for _ in range(200):
+        context.predictor.learn(context.route, "quotes", 0.16, _report(0))
+
+
+@then("work of {work_ms:d} ms is predicted at {predicted_ms:d} ms")
+def check_predicted(context, work_ms, predicted_ms):
+    found_s = context.predictor.predict_s(context.target, context.route, 0.0)
+    assert abs(found_s * 1000 - predicted_ms) < 2, found_s
+
+
+@then("it {fits} an objective of {objective_ms:d} ms")
+def check_fits(context, fits, objective_ms):
+    query = scout.Query(
+        service="quotes",
+        route=context.route,
+        excluded=set(),
+        due_s=objective_ms / 1000,
+        latest_s=10.0,
+    )
+    found = query.fits(context.target, context.predictor, 0.0)
+    assert found == (fits == "fits")
 
 
 def _join(room, name, due_s, priority):
--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -13,6 +13,9 @@
 #: Largest payload that fits one datagram without fragments.
 MAX_DATAGRAM_BYTES: typing.Final = 1300
 MAX_HEARTBEAT_MEMBERS: typing.Final = 6
+#: How often a host passes on each change of another one. When 118 hosts
+#: start, 8 sends each took more bytes than all requests of a minute.
+MEMBER_UPDATE_SENDS: typing.Final = 4
 #: Time limit of one transfer of state between hosts.
 SYNC_TIMEOUT_S: typing.Final = 1.0
 #: A starting host serves transfers of state after this delay.
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from trefoilstand.fleet import const as fleet_const
 from trefoilstand.fleet import coordinator
 from trefoilstand.fleet import exchange
 from trefoilstand.fleet import freshness
@@ -118,6 +119,7 @@
             ),
             random_source=self._random,
             clock=self._clock,
+            update_sends=fleet_const.MEMBER_UPDATE_SENDS,
         )
         self.members.add_listener(_log_member)
         self.replica = replica.Replica()
--- a/trefoilstand/gateway/const.py
+++ b/trefoilstand/gateway/const.py
@@ -2,11 +2,7 @@
 
 import typing
 
-#: Time that a slowdown by noisy neighbours is expected to go on; slow spells
-#: of 0.5 to 1.5 s were seen on the users' sites.
-SLOWDOWN_PERSISTENCE_S: typing.Final = 0.4
-#: Slowdown assumed once the present one is over, and of targets of which
-#: nothing recent is known.
+#: Slowdown assumed of targets of which nothing recent is known.
 TYPICAL_SLOWDOWN: typing.Final = 1.4
 #: Slowdown assumed of a target that warms up; twice is stated by sites.
 WARMUP_SLOWDOWN: typing.Final = 1.6
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -141,6 +141,8 @@
             )
             if not done:
                 may_hedge = False
+                if self._is_crowded(call):
+                    continue
                 if self._may_repeat(call, share=const.HEDGE_BUDGET_SHARE):
                     running.add(self._start_attempt(call))
                 continue
@@ -156,6 +158,10 @@
                 running.add(self._start_attempt(call))
         return self._give_up(call)
 
+    def _is_crowded(self, call: calls.Call) -> bool:
+        """Return whether others wait, so that a second send harms them."""
+        return len(self._placer.room(call.service)) > 0
+
     def _should_retry(self, call: calls.Call, end: calls.AttemptEnd) -> bool:
         if end.refusal is not None:
             return False
--- a/trefoilstand/gateway/prediction.py
+++ b/trefoilstand/gateway/prediction.py
@@ -115,7 +115,8 @@
         if load >= self.room_limit(target):
             slowdown *= self.knee(target.record.service)
         ahead = max(load + 1 - slots, 0)
-        return stretch_s(work_s, slowdown) * (1 + ahead / slots)
+        # A slowdown lasts for all of the work that starts during it.
+        return work_s * slowdown * (1 + ahead / slots)
 
     def cost(
         self, target: targets.Target, route: models.Route, now_s: float
@@ -130,22 +131,6 @@
         return cost + target.current_error_rate(now_s) * const.ERROR_COST
 
 
-def stretch_s(work_s: float, slowdown: float) -> float:
-    """Return how long work takes that starts under a slowdown.
-
-    The slowdown is expected to end after a while; what is left then goes on
-    at the typical pace.
-    """
-    slow_s = work_s * slowdown
-    if slowdown <= const.TYPICAL_SLOWDOWN:
-        return slow_s
-    if slow_s <= const.SLOWDOWN_PERSISTENCE_S:
-        return slow_s
-    done_s = const.SLOWDOWN_PERSISTENCE_S / slowdown
-    left_s = (work_s - done_s) * const.TYPICAL_SLOWDOWN
-    return const.SLOWDOWN_PERSISTENCE_S + left_s
-
-
 def _recent(target: targets.Target, now_s: float) -> models.LoadReport | None:
     report = target.report
     if report is None:
--- a/trefoilstand/peers/membership.py
+++ b/trefoilstand/peers/membership.py
@@ -27,6 +27,7 @@
     :param own: description of this process.
     :param random_source: source of random numbers, seeded in tests.
     :param clock: source of the time.
+    :param update_sends: how often each update is passed on.
     """
 
     def __init__(
@@ -35,7 +36,9 @@
         own: models.Member,
         random_source: random.Random,
         clock: clocks.Clock,
+        update_sends: int = const.UPDATE_SENDS,
     ) -> None:
+        self._update_sends = update_sends
         self._own = own
         self._random = random_source
         self._clock = clock
@@ -173,7 +176,7 @@
                 and known.precedence >= update.precedence
             ):
                 # The member refutes as soon as it hears the rumour.
-                self._sends_left[known.peer_address] = const.UPDATE_SENDS
+                self._sends_left[known.peer_address] = self._update_sends
                 return
             self.apply(update, now_s)
 
@@ -256,7 +259,7 @@
     def _store(self, member: models.Member, now_s: float) -> None:
         self._members[member.peer_address] = member
         self._changed_s[member.peer_address] = now_s
-        self._sends_left[member.peer_address] = const.UPDATE_SENDS
+        self._sends_left[member.peer_address] = self._update_sends
         self._aging.discard(member.peer_address)
         if member.state in _AGING_STATES:
             self._aging.add(member.peer_address)
