--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -89,3 +89,9 @@
     And a budget of no repeats
     When a request that may not be repeated is sent 20 times
     Then no request was sent twice
+
+  Scenario: Targets that do not tell their load are not asked each time
+    Given targets that answer whole and do not tell their load
+    When 20 requests are sent one after the other
+    Then each caller gets the answer to its own request
+    And at most 4 health checks were sent
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -12,7 +12,11 @@
 from trefoilstand.http import models
 
 
-def _target(name, manner):
+def _target(name, manner, *, tells_load=True):
+    if not tells_load:
+        return scripted_http.ScriptedTarget(
+            target_id=name, manner=manner, load=None
+        )
     # The scripted manner is tried first, since its load is lower.
     load = b"0,0,6,100" if name == "i-first" else b"0,0,6,130"
     return scripted_http.ScriptedTarget(
@@ -25,7 +29,11 @@
 
     async def whole():
         context.targets = [
-            _target(name, manner)
+            _target(
+                name,
+                manner,
+                tells_load=getattr(context, "tells_load", True),
+            )
             for name, manner in zip(
                 ("i-first", "i-second"), context.manners, strict=False
             )
@@ -261,3 +269,15 @@
     latencies = f'latency_ms_count{{service="quotes"}} {count}'
     assert latencies in context.metrics, context.metrics
     assert "trefoilstand_targets 1" in context.metrics, context.metrics
+
+
+@given("targets that answer whole and do not tell their load")
+def mute_targets(context):
+    context.manners = ("whole", "whole")
+    context.tells_load = False
+
+
+@then("at most {limit:d} health checks were sent")
+def check_probes(context, limit):
+    sent = sum(target.probes for target in context.targets)
+    assert sent <= limit, sent
--- a/features/support/scripted_http.py
+++ b/features/support/scripted_http.py
@@ -100,8 +100,7 @@
         return (
             b"HTTP/1.1 200 OK\r\nInstance-Id: "
             + self.target_id.encode()
-            + b"\r\nServer-Load: "
-            + self.load
+            + (b"\r\nServer-Load: " + self.load if self.load else b"")
             + b"\r\nContent-Length: 0\r\n\r\n"
         )
 
--- a/trefoilstand/gateway/probing.py
+++ b/trefoilstand/gateway/probing.py
@@ -100,6 +100,7 @@
             target.record_failure(now_s)
             return None
         report = self._dialect.read_load(response, now_s)
+        target.tells_load = report is not None
         if report is not None:
             target.report = report
         is_well = response.status == _OK
--- a/trefoilstand/gateway/scout.py
+++ b/trefoilstand/gateway/scout.py
@@ -125,6 +125,8 @@
         near, far = self._order(query)
         if not near and not far:
             return self._explain_nothing(query)
+        if self._is_mute(near, far):
+            return await self._place_unprobed(query, [*near, *far])
         answered: list[probing.Probed] = []
         try:
             await self._search(query, near, answered, const.FIRST_ROUND_PROBES)
@@ -139,6 +141,17 @@
             return await self._place_unprobed(query, near or far)
         return self._choose(query, answered)
 
+    def _is_mute(
+        self, near: list[targets.Target], far: list[targets.Target]
+    ) -> bool:
+        """Return whether the targets do not tell their load.
+
+        A health check then waits for a slot like any request, so that it
+        would cost more than it tells.
+        """
+        told = [target.tells_load for target in (*near, *far)]
+        return False in told and True not in told
+
     async def _place_unprobed(
         self, query: Query, order: list[targets.Target]
     ) -> Placement | models.Refusal:
--- a/trefoilstand/gateway/targets.py
+++ b/trefoilstand/gateway/targets.py
@@ -23,6 +23,7 @@
         "joined_s",
         "record",
         "report",
+        "tells_load",
         "times_ejected",
     )
 
@@ -30,6 +31,8 @@
         self.record = record
         self.joined_s = now_s
         self.report: models.LoadReport | None = None
+        #: Whether its answers carry its load, None before the first.
+        self.tells_load: bool | None = None
         self.in_flight: dict[int, float] = {}
         self.failures = 0
         self.times_ejected = 0
