--- a/features/gateway/callers_edge.feature
+++ b/features/gateway/callers_edge.feature
@@ -44,3 +44,8 @@
     When the server drains while a request is answered
     Then it is answered 200 with body "hello"
     And the answer announces the close
+
+  Scenario: A defect of the handler is answered, not left open
+    Given a server that echoes requests
+    When its handler fails
+    Then it is answered 500 with body ""
--- a/features/state/replica.feature
+++ b/features/state/replica.feature
@@ -33,6 +33,11 @@
       | in an outage and returns  | yes     | yes   |
       | in an outage after it drained | no  | no    |
 
+  Scenario: Most entries of a service disappear at once
+    Given a registered target
+    When most entries of its service disappear at once
+    Then it gets new work for 1.0 s, but not after 1.5 s
+
   Scenario: A target that drains stays out for its incarnation
     Given a registered target
     When it reports that it drains and then that it is ready
--- a/features/steps/callers_edge_steps.py
+++ b/features/steps/callers_edge_steps.py
@@ -43,10 +43,13 @@
     def __init__(self):
         self.handled = 0
         self.pause_s = 0.0
+        self.fails = False
 
     async def handle(self, request):
         self.handled += 1
         await asyncio.sleep(self.pause_s)
+        if self.fails:
+            raise ZeroDivisionError("on purpose")
         return server.Answer(status=200, body=request.body)
 
 
@@ -163,3 +166,13 @@
 @then("the answer announces the close")
 def check_announced(context):
     assert b"connection: close" in context.answers[0][1]
+
+
+@when("its handler fails")
+def fail_handler(context):
+    async def work(_listener, reader, writer):
+        context.echo.fails = True
+        writer.write(_HEAD + b"Content-Length: 0\r\n\r\n")
+        return await scripted_http.read_answer(reader)
+
+    context.answers = [_run(context, work)]
--- a/features/steps/layout_steps.py
+++ b/features/steps/layout_steps.py
@@ -21,7 +21,7 @@
     context.files = [
         path
         for path in package.rglob("*.py")
-        if path.relative_to(package).parts[0] != "platform"
+        if path.relative_to(package).parts[0] not in ("platform", "standins")
     ]
     assert len(context.files) > 100
 
--- a/features/steps/state_steps.py
+++ b/features/steps/state_steps.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 from behave import given
@@ -135,6 +136,9 @@
 def registered(context):
     context.registry = registry.TargetRegistry()
     context.registry.set(_record())
+    for number in range(3):
+        other = dataclasses.replace(_record(), target_id=f"other-{number}")
+        context.registry.set(other)
     context.now_s = 100.0
 
 
@@ -146,7 +150,7 @@
         context.registry.set(
             _record(state=gateway_models.TargetState.DRAINING)
         )
-    context.registry.remove("t", context.now_s)
+    context.registry.remove(["t"], context.now_s)
     if "returns" in when_:
         context.returns = True
 
@@ -240,3 +244,16 @@
 @then("all are stale after {age_ms:d} ms")
 def all_stale(context, age_ms):
     assert all(age.is_stale(10.0 + age_ms / 1000) for age in context.ages)
+
+
+@when("most entries of its service disappear at once")
+def most_disappear(context):
+    context.registry.remove(["t", "other-0", "other-1"], context.now_s)
+
+
+@then("it gets new work for {seconds:f} s, but not after {limit:f} s")
+def check_grace(context, seconds, limit):
+    context.registry.expire(context.now_s + seconds)
+    assert "t" in context.registry.eligible()
+    context.registry.expire(context.now_s + limit)
+    assert "t" not in context.registry.eligible()
--- a/trefoilstand/fleet/registry.py
+++ b/trefoilstand/fleet/registry.py
@@ -2,9 +2,11 @@
 
 An entry that disappears means that its target leaves, unless the store was
 unavailable: entries lapse then although their targets live, and are back
-soon after the store's return.
+soon after the store's return.  When most entries of a service disappear at
+once, an outage that nobody here has seen is the likelier cause.
 """
 
+import collections
 import dataclasses
 
 from trefoilstand.fleet import const
@@ -42,15 +44,29 @@
             del self._leaving[record.target_id]
         self._records[record.target_id] = record
 
-    def remove(self, target_id: str, now_s: float) -> None:
-        """Take over the removal of an entry."""
-        record = self._records.pop(target_id, None)
-        if record is None or target_id in self._leaving:
-            return
-        if now_s < self._outage_until_s:
-            self._lapsed[target_id] = _Lapsed(
-                record=record, until_s=self._outage_until_s
-            )
+    def remove(self, target_ids: list[str], now_s: float) -> None:
+        """Take over the removal of entries that disappeared together."""
+        present = collections.Counter(
+            record.service
+            for target_id, record in self._records.items()
+            if target_id not in self._leaving
+        )
+        removed = [
+            record
+            for target_id in target_ids
+            if (record := self._records.pop(target_id, None)) is not None
+            and target_id not in self._leaving
+        ]
+        lost = collections.Counter(record.service for record in removed)
+        for record in removed:
+            until_s = self._outage_until_s
+            share = lost[record.service] / present[record.service]
+            if share >= const.MASS_REMOVAL_SHARE:
+                until_s = max(until_s, now_s + const.MASS_REMOVAL_GRACE_S)
+            if now_s < until_s:
+                self._lapsed[record.target_id] = _Lapsed(
+                    record=record, until_s=until_s
+                )
 
     def expire(self, now_s: float) -> bool:
         """Drop lapsed entries that did not return; tell if any did."""
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -19,6 +19,7 @@
 from trefoilstand.gateway import directory
 from trefoilstand.gateway import forwarding
 from trefoilstand.gateway import lifecycle
+from trefoilstand.gateway import metrics_page
 from trefoilstand.gateway import models
 from trefoilstand.gateway import placing
 from trefoilstand.gateway import pool
@@ -195,6 +196,31 @@
         self.caller_server = server.Server(handler=self.forwarder)
         self.state.on_configuration.append(self._take_configuration)
         self._pages: list[tuple[gateway_settings.Endpoint, server.Server]] = []
+        self.add_page(
+            self._settings.metrics_endpoint,
+            metrics_page.MetricsPage(
+                counts=self.counts, gauges=self._read_gauges
+            ),
+        )
+
+    def _read_gauges(self) -> dict[str, float]:
+        """Return the present values for the metrics page."""
+        age_s = self.age.age_s(time.monotonic())
+        return {
+            "trefoilstand_configuration_version": self.state.version,
+            "trefoilstand_state_revision": self.replica.revision,
+            "trefoilstand_state_age_seconds": min(age_s, _MAX_REPORTED_AGE_S),
+            "trefoilstand_targets": len(self.state.targets),
+            "trefoilstand_entry_hosts": self.state.hosts,
+            "trefoilstand_requests_in_progress": self.forwarder.in_progress,
+            "trefoilstand_probes": self.prober.sent,
+            "trefoilstand_failed_probes": self.prober.failed,
+            "trefoilstand_target_connections_opened": self.links.opened,
+            "trefoilstand_peer_datagrams": self.peers.datagrams,
+            "trefoilstand_state_transfers": self.peers.syncs,
+            "trefoilstand_store_reads": self.reader.reads,
+            "trefoilstand_is_ready": int(self.directory.is_own_ready),
+        }
 
     def add_page(
         self,
--- a/trefoilstand/gateway/state.py
+++ b/trefoilstand/gateway/state.py
@@ -83,6 +83,7 @@
     def take_items(self, items: list[fleet_models.Item]) -> None:
         """Put changed items of the store in force."""
         has_targets = False
+        removed: list[str] = []
         now_s = time.monotonic()
         for item in items:
             if self._decoder.is_configuration(item.key):
@@ -96,10 +97,11 @@
             if item.value is not None:
                 record = self._decoder.decode_target(target_id, item.value)
             if record is None:
-                self.registry.remove(target_id, now_s)
+                removed.append(target_id)
             else:
                 self.registry.set(record)
         if has_targets:
+            self.registry.remove(removed, now_s)
             self._apply_targets(now_s)
         if self.configuration is not None:
             self.is_loaded.set()
--- a/trefoilstand/http/server.py
+++ b/trefoilstand/http/server.py
@@ -12,6 +12,7 @@
 
 from trefoilstand.http import models
 from trefoilstand.http import wire
+from trefoilstand.telemetry import events
 
 #: Requests that one connection may have waiting behind the current one.
 _MAX_PIPELINED: typing.Final = 8
@@ -196,13 +197,28 @@
         try:
             while self._waiting:
                 request = self._waiting.popleft()
-                answer = await self._server.handler.handle(request)
+                answer = await self._handle(request)
                 self._write(request, answer, keeps_alive)
         finally:
             self._task = None
             if self._transport is not None and not self._in_message:
                 self._set_timer(self._server.limits.idle_timeout_s)
 
+    async def _handle(self, request: models.Request) -> Answer:
+        """Return the answer, also where the handler has a defect."""
+        try:
+            return await self._server.handler.handle(request)
+        except Exception as error:
+            # The caller must not wait for an answer that never comes.
+            events.error(
+                events.ComponentFailed(
+                    component="callers",
+                    error_type=type(error).__name__,
+                    detail=str(error)[:500],
+                )
+            )
+            return Answer(status=500)
+
     def _write(
         self, request: models.Request, answer: Answer, keeps_alive: bool
     ) -> None:
