--- a/features/gateway/policies.feature
+++ b/features/gateway/policies.feature
@@ -78,3 +78,9 @@
     Given 1 hosts that share a budget of 0.2 and 56 in 10 s
     When second sends take all they may
     Then a request that failed may still be repeated
+
+  Scenario: A smaller budget counts what was spent before
+    Given 1 hosts that share a budget of 0.2 and 56 in 10 s
+    When second sends take all they may
+    And the budget shrinks to 0.01 and 0
+    Then a request that failed may not be repeated
--- a/features/steps/policies_steps.py
+++ b/features/steps/policies_steps.py
@@ -276,3 +276,17 @@
 @then("a request that failed may still be repeated")
 def failed_repeats(context):
     assert context.budgets[0].take(1.0, 1)
+
+
+@when("the budget shrinks to {ratio:f} and {allowance:d}")
+def shrink_budget(context, ratio, allowance):
+    context.budgets[0].set_terms(
+        retry_budget.BudgetTerms(
+            ratio=ratio, allowance=float(allowance), window_s=10.0
+        )
+    )
+
+
+@then("a request that failed may not be repeated")
+def failed_not_repeated(context):
+    assert not context.budgets[0].take(1.0, 1)
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -94,11 +94,7 @@
         self.state = state.GatewayState(
             decoder=decoder,
             links=self.links,
-            retry_terms=retry_budget.BudgetTerms(
-                ratio=settings.retry_ratio,
-                allowance=settings.retry_allowance,
-                window_s=settings.retry_window_s,
-            ),
+            retry_terms=_make_retry_terms(settings),
             random_source=random_source,
         )
         self._build_fleet(store)
@@ -278,11 +274,7 @@
         """Take over settings that may change while the process runs."""
         self._settings = settings
         self.peers.set_seeds(settings.seeds)
-        self.state.retry_terms = retry_budget.BudgetTerms(
-            ratio=settings.retry_ratio,
-            allowance=settings.retry_allowance,
-            window_s=settings.retry_window_s,
-        )
+        self.forwarder.set_retry_terms(_make_retry_terms(settings))
 
     def _take_items(self, items: list[fleet_models.Item]) -> None:
         self.state.take_items(items)
@@ -358,6 +350,16 @@
         events.info(events.PhaseChanged(phase=phase, cause=cause))
 
 
+def _make_retry_terms(
+    settings: gateway_settings.GatewaySettings,
+) -> retry_budget.BudgetTerms:
+    return retry_budget.BudgetTerms(
+        ratio=settings.retry_ratio,
+        allowance=settings.retry_allowance,
+        window_s=settings.retry_window_s,
+    )
+
+
 def _log_member(member: peers_models.Member) -> None:
     """Log what changes of another host, but not that it is well."""
     if member.state is peers_models.MemberState.ALIVE:
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -61,6 +61,12 @@
         self._returning = returning.ReturningCallers()
         self.in_progress = 0
 
+    def set_retry_terms(self, terms: retry_budget.BudgetTerms) -> None:
+        """Change the budget of repeats of all services."""
+        self._state.retry_terms = terms
+        for budget in self._budgets.values():
+            budget.set_terms(terms)
+
     async def handle(self, request: http_models.Request) -> server.Answer:
         """Return the answer to one request."""
         self.in_progress += 1
--- a/trefoilstand/gateway/retry_budget.py
+++ b/trefoilstand/gateway/retry_budget.py
@@ -42,6 +42,10 @@
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
+    def set_terms(self, terms: BudgetTerms) -> None:
+        """Change the budget; what was spent stays counted."""
+        self._terms = terms
+
     def record_request(self, now_s: float) -> None:
         """Count a first send."""
         self._requests.append(now_s)
