Wire the request path in one place; keep fleet/ free of gateway/

Cause: the same wiring stood in the application, the tests and the model, and fleet/ and gateway/ imported each other for the life cycle and the registry. No behaviour changes.

--- a/features/steps/state_steps.py
+++ b/features/steps/state_steps.py
@@ -11,9 +11,9 @@
 from trefoilstand.fleet import freshness
 from trefoilstand.fleet import models
 from trefoilstand.fleet import readers
-from trefoilstand.fleet import registry
 from trefoilstand.fleet import replica
 from trefoilstand.gateway import models as gateway_models
+from trefoilstand.gateway import registry
 from trefoilstand.peers import models as peers_models
 
 
--- a/features/support/scripted_http.py
+++ b/features/support/scripted_http.py
@@ -7,16 +7,13 @@
 import struct
 
 from trefoilstand.fleet import models as fleet_models
-from trefoilstand.gateway import forwarding
+from trefoilstand.gateway import assembly
 from trefoilstand.gateway import models
-from trefoilstand.gateway import placing
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import probing
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import routing
-from trefoilstand.gateway import scout
-from trefoilstand.gateway import sending
 from trefoilstand.gateway import state
 from trefoilstand.http import server
 from trefoilstand.platform import decoder
@@ -227,46 +224,20 @@
             ),
             random_source=source,
         )
-        predictor = prediction.Predictor()
         speaks = dialect.PlatformDialect()
-        self.prober = probing.Prober(
-            links=self.links, dialect=speaks, clock=clock
-        )
-        self.scout = scout.Scout(
-            table=self.state.targets,
-            links=self.links,
-            prober=self.prober,
-            predictor=predictor,
-            budget=token_bucket.TokenBucket(rate_per_s=1e4, burst=1e4),
-            clock=clock,
-            random_source=source,
-            own_domain=OWN_DOMAIN,
-        )
-        placer = placing.Placer(
-            table=self.state.targets,
-            finder=self.scout,
-            links=self.links,
-            predictor=predictor,
-            clock=clock,
-            random_source=source,
-        )
-        self.forwarder = forwarding.Forwarder(
+        self.forwarder = assembly.build_forwarder(
             current=self.state,
-            placer=placer,
-            sender=sending.Sender(
-                table=self.state.targets,
-                placer=placer,
-                links=self.links,
-                dialect=speaks,
-                predictor=predictor,
-                counts=self.counts,
-                clock=clock,
+            links=self.links,
+            prober=probing.Prober(
+                links=self.links, dialect=speaks, clock=clock
             ),
+            probe_budget=token_bucket.TokenBucket(rate_per_s=1e4, burst=1e4),
+            predictor=prediction.Predictor(),
             dialect=speaks,
-            predictor=predictor,
             counts=self.counts,
             clock=clock,
             random_source=source,
+            own_domain=OWN_DOMAIN,
         )
         self.state.configuration = models.GatewayConfiguration(
             version=1, routes={"r": route}, services={}, limits=server.Limits()
--- a/trefoilstand/experiments/gateway_load.py
+++ b/trefoilstand/experiments/gateway_load.py
@@ -11,14 +11,11 @@
 from trefoilstand.cli import output
 from trefoilstand.experiments import gateway_model
 from trefoilstand.experiments import virtual_time
-from trefoilstand.gateway import forwarding
+from trefoilstand.gateway import assembly
 from trefoilstand.gateway import models
-from trefoilstand.gateway import placing
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import routing
-from trefoilstand.gateway import scout
-from trefoilstand.gateway import sending
 from trefoilstand.gateway import state
 from trefoilstand.gateway import targets
 from trefoilstand.http import models as http_models
@@ -117,43 +114,19 @@
             },
             0.0,
         )
-        finder = scout.Scout(
-            table=self.state.targets,
+        self.forwarder = assembly.build_forwarder(
+            current=self.state,
             links=links,
             prober=self.prober,
-            predictor=predictor,
-            budget=token_bucket.TokenBucket(rate_per_s=200.0, burst=1000.0),
-            clock=clock,
-            random_source=source,
-            own_domain=domain,
-        )
-        placer = placing.Placer(
-            table=self.state.targets,
-            finder=finder,
-            links=links,
-            predictor=predictor,
-            clock=clock,
-            random_source=source,
-        )
-        counts = tally.Tally()
-        dialect = gateway_model.ModelDialect()
-        self.forwarder = forwarding.Forwarder(
-            current=self.state,
-            placer=placer,
-            sender=sending.Sender(
-                table=self.state.targets,
-                placer=placer,
-                links=links,
-                dialect=dialect,
-                predictor=predictor,
-                counts=counts,
-                clock=clock,
+            probe_budget=token_bucket.TokenBucket(
+                rate_per_s=200.0, burst=1000.0
             ),
-            dialect=dialect,
             predictor=predictor,
-            counts=counts,
+            dialect=gateway_model.ModelDialect(),
+            counts=tally.Tally(),
             clock=clock,
             random_source=source,
+            own_domain=domain,
         )
 
 
--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -57,11 +57,3 @@
 
 #: Removals remembered for hosts that are behind.
 MAX_REMOVALS: typing.Final = 4096
-#: Entries that lapsed in an outage of the store are back within 2 s of its
-#: return, if their targets live.
-LAPSE_GRACE_S: typing.Final = 2.1
-#: Share of a service's entries whose joint removal is taken for a lapse,
-#: and how long they are kept then; leaving targets must get nothing new
-#: 2 s after the store's answer.
-MASS_REMOVAL_SHARE: typing.Final = 0.5
-MASS_REMOVAL_GRACE_S: typing.Final = 1.2
--- a/trefoilstand/fleet/coordinator.py
+++ b/trefoilstand/fleet/coordinator.py
@@ -16,7 +16,7 @@
 from trefoilstand.fleet import readers
 from trefoilstand.fleet import replica
 from trefoilstand.fleet import store as stores
-from trefoilstand.gateway import lifecycle
+from trefoilstand.helpers import lifecycle
 from trefoilstand.peers import membership
 from trefoilstand.peers import models as peers_models
 from trefoilstand.telemetry import events
--- a/trefoilstand/fleet/exchange.py
+++ b/trefoilstand/fleet/exchange.py
@@ -11,7 +11,7 @@
 from trefoilstand.fleet import const
 from trefoilstand.fleet import gossip
 from trefoilstand.fleet import replica
-from trefoilstand.gateway import lifecycle
+from trefoilstand.helpers import lifecycle
 from trefoilstand.peers import membership
 from trefoilstand.peers import models as peers_models
 from trefoilstand.telemetry import events
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -15,21 +15,18 @@
 from trefoilstand.fleet import models as fleet_models
 from trefoilstand.fleet import replica
 from trefoilstand.fleet import store as stores
+from trefoilstand.gateway import assembly
 from trefoilstand.gateway import dialect as dialects
 from trefoilstand.gateway import directory
-from trefoilstand.gateway import forwarding
-from trefoilstand.gateway import lifecycle
 from trefoilstand.gateway import metrics_page
 from trefoilstand.gateway import models
-from trefoilstand.gateway import placing
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import probing
 from trefoilstand.gateway import retry_budget
-from trefoilstand.gateway import scout
-from trefoilstand.gateway import sending
 from trefoilstand.gateway import settings as gateway_settings
 from trefoilstand.gateway import state
+from trefoilstand.helpers import lifecycle
 from trefoilstand.http import server
 from trefoilstand.peers import membership
 from trefoilstand.peers import models as peers_models
@@ -146,48 +143,23 @@
         self.directory = directory.Directory(
             members=self.members, random_source=self._random
         )
-        predictor = prediction.Predictor()
         self.prober = probing.Prober(
             links=self.links, dialect=dialect, clock=self._clock
         )
         self._probe_budget = token_bucket.TokenBucket(
             rate_per_s=0.0, burst=0.0
         )
-        self.scout = scout.Scout(
-            table=self.state.targets,
+        self.forwarder = assembly.build_forwarder(
+            current=self.state,
             links=self.links,
             prober=self.prober,
-            predictor=predictor,
-            budget=self._probe_budget,
-            clock=self._clock,
-            random_source=self._random,
-            own_domain=self._settings.failure_domain,
-        )
-        placer = placing.Placer(
-            table=self.state.targets,
-            finder=self.scout,
-            links=self.links,
-            predictor=predictor,
-            clock=self._clock,
-            random_source=self._random,
-        )
-        self.forwarder = forwarding.Forwarder(
-            current=self.state,
-            placer=placer,
-            sender=sending.Sender(
-                table=self.state.targets,
-                placer=placer,
-                links=self.links,
-                dialect=dialect,
-                predictor=predictor,
-                counts=self.counts,
-                clock=self._clock,
-            ),
+            probe_budget=self._probe_budget,
+            predictor=prediction.Predictor(),
             dialect=dialect,
-            predictor=predictor,
             counts=self.counts,
             clock=self._clock,
             random_source=self._random,
+            own_domain=self._settings.failure_domain,
         )
         self.caller_server = server.Server(handler=self.forwarder)
         self.state.on_configuration.append(self._take_configuration)
--- a/trefoilstand/gateway/const.py
+++ b/trefoilstand/gateway/const.py
@@ -111,3 +111,12 @@
 #: A target that sheds a request says so at once; another one may take it,
 #: so the caller may return as soon as it likes.
 RETRY_AFTER_SHED_S: typing.Final = 0.02
+
+#: Entries that lapsed in an outage of the store are back within 2 s of its
+#: return, if their targets live.
+LAPSE_GRACE_S: typing.Final = 2.1
+#: Share of a service's entries whose joint removal is taken for a lapse,
+#: and how long they are kept then; leaving targets must get nothing new
+#: 2 s after the store's answer.
+MASS_REMOVAL_SHARE: typing.Final = 0.5
+MASS_REMOVAL_GRACE_S: typing.Final = 1.2
--- a/trefoilstand/fleet/registry.py
+++ b/trefoilstand/gateway/registry.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 
-from trefoilstand.fleet import const
+from trefoilstand.gateway import const
 from trefoilstand.gateway import models
 
 
--- a/trefoilstand/gateway/state.py
+++ b/trefoilstand/gateway/state.py
@@ -8,9 +8,9 @@
 
 from trefoilstand.fleet import coordinator
 from trefoilstand.fleet import models as fleet_models
-from trefoilstand.fleet import registry
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pool
+from trefoilstand.gateway import registry
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import routing
 from trefoilstand.gateway import targets
