--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -47,6 +47,7 @@
 _GRACE_MARGIN_S: typing.Final = 1.0
 #: Share of the probes that targets allow which the fleet spends.
 _PROBE_SHARE: typing.Final = 0.8
+#: Time for which unused probes are saved up.
 _PROBE_BURST_S: typing.Final = 8.0
 #: Age shown before the first confirmation.
 _MAX_REPORTED_AGE_S: typing.Final = 1e6
--- a/trefoilstand/gateway/const.py
+++ b/trefoilstand/gateway/const.py
@@ -100,9 +100,8 @@
 #: Time between two requests leaving a queue, before any was measured.
 PRIOR_ROOM_INTERVAL_S: typing.Final = 0.02
 ROOM_INTERVAL_WEIGHT: typing.Final = 0.1
-#: A caller that returns after a rejection says how long it has waited by
-#: the part of its time that is left; smaller parts than this are first
-#: sends.
+#: A caller with at least this part of its route's longest time sends for
+#: the first time; one with less returns after a rejection.
 RETURNING_SHARE: typing.Final = 0.95
 #: Weight of one request in the share that comes with the full time.
 FULL_SHARE_WEIGHT: typing.Final = 0.02
