Let new processes leave the watching of the store to others at first

Change: a process watches as a reader only after 1 s of its life, and at the first start of the fleet others than seeds read for themselves after 2 s. The rule that a stale host reads for itself stays as it was. The coordinator takes the clock as a parameter, so that its pace is tested in simulated time.

--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -78,8 +78,12 @@
 MIN_RETRY_S: typing.Final = 0.15
 MAX_RETRY_S: typing.Final = 1.5
 #: When the whole fleet starts for the first time, hosts leave the first
-#: reads to the seeds for this long.
-START_GRACE_S: typing.Final = 0.5
+#: reads to the seeds for this long. Callers come seconds later.
+START_GRACE_S: typing.Final = 2.0
+#: A new process knows too few hosts to tell whether it is a reader, and
+#: leaves that to others for this long; a read at its start stays fresh
+#: longer.
+READER_SETTLE_S: typing.Final = 1.0
 
 #: Removals remembered for hosts that are behind.
 MAX_REMOVALS: typing.Final = 4096
--- a/trefoilstand/fleet/coordinator.py
+++ b/trefoilstand/fleet/coordinator.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections.abc
 import random
-import time
 import typing
 
 from trefoilstand.fleet import const
@@ -22,6 +21,7 @@
 from trefoilstand.peers import membership
 from trefoilstand.peers import models as peers_models
 from trefoilstand.telemetry import events
+from trefoilstand.util import clock as clocks
 
 _IDLE_CHECK_S: typing.Final = 0.1
 
@@ -35,6 +35,7 @@
     :param members: beliefs about the entry hosts.
     :param peers: told of changes at once.
     :param random_source: spreads retries.
+    :param clock: source of the time.
     :param reads_at_once: whether the first read waits for nobody.
     """
 
@@ -47,6 +48,7 @@
         members: membership.MemberTable,
         peers: exchange.PeerExchange,
         random_source: random.Random,
+        clock: clocks.Clock,
         reads_at_once: bool,
     ) -> None:
         self._store = store
@@ -55,8 +57,9 @@
         self._members = members
         self._peers = peers
         self._random = random_source
+        self._clock = clock
         self._reads_at_once = reads_at_once
-        self._started_s = time.monotonic()
+        self._started_s = self._clock.now_s()
         self._failures = 0
         self._ask_again_s = 0.0
         self.reads = 0
@@ -121,14 +124,16 @@
         self._peers.ask(self._random.choice(peers))
 
     def _should_read(self, now_s: float) -> bool:
-        is_starting = now_s - self._started_s < const.START_GRACE_S
+        elapsed_s = now_s - self._started_s
         if not self._state.revision:
-            return self._reads_at_once or not is_starting
-        return self.is_reader or self._age.is_stale(now_s)
+            return self._reads_at_once or elapsed_s >= const.START_GRACE_S
+        if self._age.is_stale(now_s):
+            return True
+        return elapsed_s >= const.READER_SETTLE_S and self.is_reader
 
     async def _repeat(self) -> None:
         while True:
-            now_s = time.monotonic()
+            now_s = self._clock.now_s()
             if not self._should_read(now_s):
                 self._ask_peer(now_s)
                 await asyncio.sleep(_IDLE_CHECK_S)
@@ -153,7 +158,7 @@
 
     async def _read_once(self) -> bool:
         """Read a snapshot or wait for changes; return whether any came."""
-        asked_s = time.monotonic()
+        asked_s = self._clock.now_s()
         self.reads += 1
         if self._needs_snapshot or not self._state.revision:
             delta = await self._store.read_all()
@@ -162,7 +167,7 @@
             delta = await self._store.watch(
                 self._state.revision, self._watch_wait_s()
             )
-            asked_s = time.monotonic()
+            asked_s = self._clock.now_s()
         has_moved = self._state.apply(delta)
         self._age.confirm(asked_s)
         return has_moved
@@ -177,7 +182,7 @@
                 )
             )
         self._failures += 1
-        self.outage_seen_s = time.monotonic()
+        self.outage_seen_s = self._clock.now_s()
         pause_s = min(
             const.MIN_RETRY_S * 2 ** min(self._failures - 1, 8),
             const.MAX_RETRY_S,
@@ -191,5 +196,5 @@
                     dependency="store", failures=self._failures
                 )
             )
-            self.outage_seen_s = time.monotonic()
+            self.outage_seen_s = self._clock.now_s()
         self._failures = 0
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -147,6 +147,7 @@
             members=self.members,
             peers=self.peers,
             random_source=self._random,
+            clock=self._clock,
             reads_at_once=not settings.is_first_start
             or str(settings.peer_endpoint) in settings.seeds,
         )
