--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -17,15 +17,16 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _NETWORK = "127.50.0"
-_STORE = f"{_NETWORK}.200"
+_STORE_NUMBER = 200
 _HOST_NAME = "app.example"
 
 
 class PlatformHost:
     """Run one daemon on an address of its own."""
 
-    def __init__(self, *, number, folder):
-        self.ip = f"{_NETWORK}.{number + 1}"
+    def __init__(self, *, number, folder, network):
+        self.network = network
+        self.ip = f"{network}.{number + 1}"
         self.path = folder / f"boot-{number}.json"
         self.log_path = folder / f"log-{number}.txt"
         self.process = None
@@ -44,10 +45,10 @@
                 "directory": f"{self.ip}:8644",
             },
             "internal-ports": [7620, 7635],
-            "seeds": [f"{_NETWORK}.{seed}:8649" for seed in (1, 2)],
+            "seeds": [f"{self.network}.{seed}:8649" for seed in (1, 2)],
             "bootstrap": False,
             "bounds": ["drain=2000ms", "grace=6s", "budget-extra=56"],
-            "platform": {"address": f"{_STORE}:8642"},
+            "platform": {"address": f"{self.network}.{_STORE_NUMBER}:8642"},
         }
 
     def start(self):
@@ -119,11 +120,11 @@
 class PlatformFleet:
     """Start store, targets and hosts, and play the operator."""
 
-    def __init__(self, *, hosts, targets=4):
+    def __init__(self, *, hosts, targets=4, network=_NETWORK):
         self._folder = tempfile.TemporaryDirectory()
         folder = pathlib.Path(self._folder.name)
         self.hosts = [
-            PlatformHost(number=number, folder=folder)
+            PlatformHost(number=number, folder=folder, network=network)
             for number in range(hosts)
         ]
         self.targets = [
@@ -135,11 +136,17 @@
             for number in range(targets)
         ]
         self.version = 1
+        self.store_ip = f"{network}.{_STORE_NUMBER}"
+
+    @property
+    def folder(self):
+        """Return where settings and logs are kept while the fleet runs."""
+        return pathlib.Path(self._folder.name)
 
     async def __aenter__(self):
         self.store = store_service.StoreService()
         self._store_server = server.Server(handler=self.store)
-        await self._store_server.start(ip=_STORE, port=8642, backlog=64)
+        await self._store_server.start(ip=self.store_ip, port=8642, backlog=64)
         for target in self.targets:
             await target.start()
             self.register(target)
@@ -194,20 +201,21 @@
     def unregister(self, target):
         self.store.remove(f"servers/{target.target_id}")
 
-    def publish(self, prefixes):
+    def publish(self, prefixes, safe=()):
+        """Put a configuration with unsafe and safe routes in force."""
         self.version += 1
         routes = {
             f"r{number}": {
                 "host": _HOST_NAME,
                 "prefix": prefix,
-                "route-type": "unsafe",
+                "route-type": "safe" if prefix in safe else "unsafe",
                 "timeout": "1000ms",
                 "target-latency": "500ms",
                 "priority": 1,
                 "service": "quotes",
                 "max-attempts": 2,
             }
-            for number, prefix in enumerate(prefixes)
+            for number, prefix in enumerate([*prefixes, *safe])
         }
         self.store.put(
             "op/config",
