Count live hosts without listing them; measure heartbeats of whole fleets

Cause: each heartbeat listed all members twice only to count them, which grows with the fleet at both ends.

--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -37,7 +37,7 @@
         for host in net.readers():
             if not host.state.revision:
                 host.change(1)
-        net.far_bytes = 0
+        net.reset_counts()
         net.elapsed_s = seconds
         await net.run(seconds)
 
@@ -47,7 +47,7 @@
 @when("a reader takes a change from the store")
 def change(context):
     async def act(net):
-        net.far_messages = 0
+        net.reset_counts()
         net.readers()[0].change(2)
 
     context.acts.append(act)
@@ -71,7 +71,7 @@
         old = net.up[-1]
         await old.stop()
         number = len(net.hosts) - 1
-        net.far_bytes = 0
+        net.reset_counts()
         net.restarted = net.add(number, old.domain, 2)
         net.restarted.start()
 
--- a/features/support/heartbeat_fleet.py
+++ b/features/support/heartbeat_fleet.py
@@ -143,6 +143,8 @@
         self.loss = loss
         self.far_bytes = 0
         self.far_messages = 0
+        self.near_bytes = 0
+        self.near_messages = 0
         self._random = random.Random(seed)
         self.seeds = ()
         self.hosts = {}
@@ -207,3 +209,11 @@
         if sender.domain != receiver.domain:
             self.far_bytes += size
             self.far_messages += 1
+        else:
+            self.near_bytes += size
+            self.near_messages += 1
+
+    def reset_counts(self):
+        """Count from now on."""
+        self.far_bytes = self.far_messages = 0
+        self.near_bytes = self.near_messages = 0
--- a/trefoilstand/fleet/gossip.py
+++ b/trefoilstand/fleet/gossip.py
@@ -101,7 +101,7 @@
             revision=self._state.revision,
             confirmed_age_ms=int(age_ms),
             wants_reply=wants_reply,
-            live_hosts=len(self._members.live()) + 1,
+            live_hosts=self._members.live_count,
         )
         data = message.SerializeToString()
         known = self._known_revisions.get(receiver, 0)
@@ -149,8 +149,7 @@
             is_confirmed=is_confirmed,
             is_behind=is_behind,
             is_ahead=message.revision < self._state.revision,
-            has_other_members=message.live_hosts
-            != len(self._members.live()) + 1,
+            has_other_members=message.live_hosts != self._members.live_count,
         )
 
     def assume_sent(self, receiver: str) -> None:
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -284,7 +284,7 @@
     def _tick(self) -> None:
         now_s = time.monotonic()
         self._notice_gap(now_s)
-        self.state.hosts = len(self.members.live()) + 1
+        self.state.hosts = self.members.live_count
         self.state.tick(now_s, self.reader)
         self.links.expire()
         self._set_probe_rate()
--- a/trefoilstand/peers/membership.py
+++ b/trefoilstand/peers/membership.py
@@ -47,6 +47,7 @@
         self._members: dict[str, models.Member] = {}
         self._changed_s: dict[str, float] = {}
         self._aging: set[str] = set()
+        self._dead: set[str] = set()
         self._seeds: frozenset[str] = frozenset()
         self._has_seeds = False
         self._round: list[str] = []
@@ -94,6 +95,12 @@
         with self._lock:
             return list(self._members.values())
 
+    @property
+    def live_count(self) -> int:
+        """Return how many entry hosts live, this one included."""
+        with self._lock:
+            return len(self._members) - len(self._dead) + 1
+
     def live(self) -> list[models.Member]:
         """Return the other entry hosts that are not dead."""
         return [
@@ -261,6 +268,9 @@
         self._members[member.peer_address] = member
         self._changed_s[member.peer_address] = now_s
         self._updates.push(member.peer_address)
+        self._dead.discard(member.peer_address)
+        if member.state is models.MemberState.DEAD:
+            self._dead.add(member.peer_address)
         self._aging.discard(member.peer_address)
         if member.state in _AGING_STATES:
             self._aging.add(member.peer_address)
@@ -269,6 +279,7 @@
 
     def _forget(self, address: str) -> None:
         del self._members[address]
+        self._dead.discard(address)
         self._aging.discard(address)
         self._changed_s.pop(address, None)
         self._updates.discard(address)
