Do not let a host ask itself for news

Cause: seen on reading the change: in its first second a host that ranks as reader but does not watch yet chose among readers with itself included. Change: the own address is left out. Red first: state/reading, asked 10.0.0.1 and 10.0.0.2 where it is 10.0.0.1. Figures: none measured; a datagram less at a start.

--- a/features/state/reading.feature
+++ b/features/state/reading.feature
@@ -19,3 +19,9 @@
     And another host that ranks before it and is silent
     When it has run for 1700 ms
     Then it has read the store once and watched it at least once
+
+  Scenario: A host that ranks first does not ask itself
+    Given a host alone that starts again
+    And another host that ranks after it and is silent
+    When it has run for 950 ms
+    Then it has asked only others
--- a/features/steps/reading_steps.py
+++ b/features/steps/reading_steps.py
@@ -42,8 +42,9 @@
 class SilentPeers:
     """Peers that take everything and say nothing."""
 
-    def __init__(self, *, members):
+    def __init__(self, *, members, asked):
         self._members = members
+        self._asked = asked
 
     @property
     def view(self):
@@ -56,7 +57,7 @@
         return
 
     def ask(self, address):
-        return
+        self._asked.append(address)
 
 
 def _member(number):
@@ -77,6 +78,8 @@
 def alone(context, start):
     context.reads_at_once = "no seed" not in start
     context.others = []
+    context.own = _by_rank()[2]
+    context.asked = []
 
 
 @given("another host that ranks before it and is silent")
@@ -84,13 +87,18 @@
     context.others = _by_rank()[:2]
 
 
+@given("another host that ranks after it and is silent")
+def another_after(context):
+    context.own, *context.others = _by_rank()[:2]
+
+
 @when("it has run for {elapsed_ms:d} ms")
 def run_for(context, elapsed_ms):
     async def play(loop):
         clock = virtual_time.LoopClock(loop=loop)
         source = random.Random(1)
         members = membership.MemberTable(
-            own=_by_rank()[2], random_source=source, clock=clock
+            own=context.own, random_source=source, clock=clock
         )
         for member in context.others:
             members.apply(member, clock.now_s())
@@ -99,7 +107,7 @@
             state=replica.Replica(),
             age=freshness.Freshness(random_source=source),
             members=members,
-            peers=SilentPeers(members=members),
+            peers=SilentPeers(members=members, asked=context.asked),
             random_source=source,
             clock=clock,
             reads_at_once=context.reads_at_once,
@@ -117,3 +125,9 @@
     found = (context.store.reads, context.store.watches)
     assert found[0] == (0 if reads == "never" else 1), found
     assert (found[1] == 0) == (watches == "never"), found
+
+
+@then("it has asked only others")
+def asked_others(context):
+    assert context.asked, "nobody was asked"
+    assert context.own.peer_address not in context.asked, context.asked
--- a/trefoilstand/fleet/coordinator.py
+++ b/trefoilstand/fleet/coordinator.py
@@ -118,10 +118,12 @@
     def _ask_one_of(
         self, peers: collections.abc.Sequence[str], now_s: float
     ) -> None:
-        if not peers:
+        own = self._members.own.peer_address
+        others = [address for address in peers if address != own]
+        if not others:
             return
         self._ask_again_s = now_s + const.ASK_PAUSE_S
-        self._peers.ask(self._random.choice(peers))
+        self._peers.ask(self._random.choice(others))
 
     def _should_read(self, now_s: float) -> bool:
         elapsed_s = now_s - self._started_s
