Check what store, targets and callers send before it is used

Cause: fuzzing of the edges (platform/fuzz, written first) found inputs that raised where nobody catches, or passed for good: - an entry with port 99999, a host name for an address, no service or true for its slots became a target; connecting to it raised in the request; - an answer of the store without revision or items, or with a list for an object, raised an error that ended the reading of the store for good; - one value that is no base64 or no text hid the whole page; - nested content of 3,000 levels ended the decoding of a configuration with an error of another kind than promised; - a load figure or a caller's time of hundreds of digits raised in the request (answered 500). Ruled out: catching everything around the reader; it would hide defects. Change: pages of the store are decoded once into a type; entries need a numeric address and port; figures of loads and times have a limit.

--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -22,6 +22,8 @@
 from trefoilstand.util import clock as clocks
 
 _MS_PER_S = 1000
+#: Digits of a time in milliseconds; more than any caller waits.
+_MAX_DIGITS = 12
 
 
 class Forwarder(server.RequestHandler):
@@ -114,7 +116,7 @@
     def _caller_time_s(self, request: http_models.Request) -> float | None:
         """Return how long the caller waits, None where it does not say."""
         value = request.find(self._dialect.names.deadline_ms)
-        if value is None or not value.isdigit():
+        if value is None or not value.isdigit() or len(value) > _MAX_DIGITS:
             return None
         return int(value) / _MS_PER_S
 
--- a/trefoilstand/platform/decoder.py
+++ b/trefoilstand/platform/decoder.py
@@ -8,11 +8,11 @@
 from trefoilstand.http import server
 from trefoilstand.platform import values
 from trefoilstand.telemetry import events
+from trefoilstand.util import address as addresses
 
 _CONFIGURATION_KEY: typing.Final = "op/config"
 _TARGET_PREFIX: typing.Final = "servers/"
 _IDEMPOTENT_KIND: typing.Final = "safe"
-#: Kinds of route that may run once only.
 _STATES: typing.Final = {
     "ready": models.TargetState.READY,
     "draining": models.TargetState.DRAINING,
@@ -57,7 +57,7 @@
                 },
                 limits=_decode_limits(raw.get("limits") or {}),
             )
-        except (KeyError, TypeError, AttributeError) as error:
+        except values.MALFORMED as error:
             raise ValueError(f"{type(error).__name__}: {error}") from error
 
     def decode_target(
@@ -71,31 +71,27 @@
             raw = json.loads(value)
             info = raw["info"]
             status = raw["status"]
-            ip, _, port = raw["address"].rpartition(":")
+            address = addresses.parse_address(raw["address"])
             service, domain = info["service"], info["zone"]
             if not (isinstance(service, str) and isinstance(domain, str)):
                 raise TypeError("service and zone are texts")
-            if not isinstance(info["slots"], int) or info["slots"] < 1:
+            if not service:
+                raise ValueError("service is empty")
+            if type(info["slots"]) is not int or info["slots"] < 1:
                 raise TypeError("slots is a positive number")
             return models.TargetRecord(
                 target_id=target_id,
                 # Moment of the start, in milliseconds since the epoch.
                 incarnation=_decode_born(raw),
                 service=service,
-                ip=ip,
-                port=int(port),
+                ip=address.ip,
+                port=address.port,
                 failure_domain=domain,
                 slots=info["slots"],
                 state=_STATES[status["state"]],
                 warmup_left_s=values.parse_seconds(status["warmup-left"]),
             )
-        except (
-            KeyError,
-            TypeError,
-            AttributeError,
-            ValueError,
-            RecursionError,
-        ) as error:
+        except values.MALFORMED as error:
             events.warning(
                 events.EntryDropped(
                     key=_TARGET_PREFIX + target_id,
--- a/trefoilstand/platform/dialect.py
+++ b/trefoilstand/platform/dialect.py
@@ -14,6 +14,8 @@
 _INSTANCE: typing.Final = b"instance-id"
 _MISDIRECTED_STATUS: typing.Final = 421
 _PERCENT: typing.Final = 100.0
+#: Figures of a load are below this; larger ones are no load.
+_LIMIT: typing.Final = 1_000_000
 
 
 class PlatformDialect(dialect.Dialect):
@@ -51,7 +53,7 @@
             numbers = [int(part) for part in parts]
         except ValueError:
             return None
-        if len(numbers) < 3 or min(numbers) < 0:
+        if len(numbers) < 3 or not 0 <= min(numbers) <= max(numbers) < _LIMIT:
             return None
         # The fourth figure is the working time in percent of the usual.
         percent = numbers[3] if len(numbers) > 3 else _PERCENT
--- a/trefoilstand/platform/store.py
+++ b/trefoilstand/platform/store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import base64
-import binascii
+import dataclasses
 import json
 import typing
 import urllib.parse
@@ -14,6 +14,7 @@
 from trefoilstand.http import errors
 from trefoilstand.http import link
 from trefoilstand.http import wire
+from trefoilstand.platform import values
 
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
@@ -23,6 +24,20 @@
 _MAX_PAGES: typing.Final = 400
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Page:
+    """Hold one answer of the store.
+
+    :param items: items or events, as they came.
+    :param revision: revision of the store.
+    :param is_truncated: whether another page follows.
+    """
+
+    items: tuple[models.Item, ...]
+    revision: int
+    is_truncated: bool
+
+
 class PlatformStore(store.Store):
     """Speak the protocol of the platform's store.
 
@@ -54,14 +69,13 @@
             if after:
                 query["after"] = after
             page = await self._get(
-                "/api/kv-range", query, fleet_const.READ_TIMEOUT_S
+                "/api/kv-range", query, fleet_const.READ_TIMEOUT_S, "items"
             )
-            revision = revision or int(page["store-revision"])
-            for raw in page["items"]:
-                item = _decode_item(raw)
+            revision = revision or page.revision
+            for item in page.items:
                 items[item.key] = item
                 after = item.key
-            if not page["truncated"] or not page["items"]:
+            if not page.is_truncated or not page.items:
                 break
         return models.Delta(
             after_revision=0,
@@ -82,17 +96,19 @@
             "wait-ms": str(int(wait_s * _MS_PER_S)),
         }
         page = await self._get(
-            "/api/kv-watch", query, wait_s + fleet_const.WATCH_MARGIN_S
+            "/api/kv-watch",
+            query,
+            wait_s + fleet_const.WATCH_MARGIN_S,
+            "events",
         )
         latest: dict[str, models.Item] = {}
-        for raw in page["events"]:
-            item = _decode_item(raw)
+        for item in page.items:
             known = latest.get(item.key)
             if known is None or known.revision < item.revision:
                 latest[item.key] = item
         return models.Delta(
             after_revision=after_revision,
-            up_to_revision=int(page["store-revision"]),
+            up_to_revision=page.revision,
             items=tuple(latest.values()),
         )
 
@@ -103,10 +119,14 @@
             self._link = None
 
     async def _get(
-        self, path: str, query: dict[str, str], timeout_s: float
-    ) -> dict[str, typing.Any]:
+        self, path: str, query: dict[str, str], timeout_s: float, field: str
+    ) -> _Page:
         """Return the content of an answer.
 
+        :param path: call of the store.
+        :param query: its parameters.
+        :param timeout_s: time limit.
+        :param field: where the answer holds its items.
         :raises store.StoreError: there is no usable answer.
         """
         self.calls += 1
@@ -129,12 +149,11 @@
         if response.status != _OK:
             raise store.StoreError(f"{path}: status {response.status}")
         try:
-            content = json.loads(response.body)
-        except ValueError as error:
-            raise store.StoreError(f"{path}: malformed content") from error
-        if not isinstance(content, dict):
-            raise store.StoreError(f"{path}: malformed content")
-        return content
+            return _decode_page(response.body, field)
+        except values.MALFORMED as error:
+            raise store.StoreError(
+                f"{path}: malformed content, {type(error).__name__}"
+            ) from error
 
     async def _connect(self) -> link.Link:
         if self._link is None or not self._link.is_reusable:
@@ -147,22 +166,31 @@
         return self._link
 
 
-def _decode_item(raw: typing.Any) -> models.Item:
-    """Return the item of a page or an event.
+def _decode_page(body: bytes, field: str) -> _Page:
+    """Return the page of an answer.
 
-    :raises store.StoreError: it is malformed.
+    :raises Exception: one of `values.MALFORMED`.
     """
-    try:
-        value: bytes | None = None
-        if not raw.get("removed"):
-            value = _decode_value(raw["value"])
-        return models.Item(
-            key=raw["key"], revision=int(raw["revision"]), value=value
-        )
-    except (KeyError, TypeError, AttributeError, ValueError) as error:
-        raise store.StoreError(
-            f"malformed item: {type(error).__name__}"
-        ) from error
+    content = json.loads(body)
+    revision = content["store-revision"]
+    if type(revision) is not int or not isinstance(content[field], list):
+        raise TypeError(f"{field} is a list, the revision a whole number")
+    return _Page(
+        items=tuple(_decode_item(raw) for raw in content[field]),
+        revision=revision,
+        is_truncated=content.get("truncated") is True,
+    )
+
+
+def _decode_item(raw: dict[str, typing.Any]) -> models.Item:
+    """Return the item of a page or an event."""
+    key, revision = raw["key"], raw["revision"]
+    if not isinstance(key, str) or type(revision) is not int:
+        raise TypeError("a key is a text, a revision a whole number")
+    value: bytes | None = None
+    if not raw.get("removed"):
+        value = _decode_value(raw["value"])
+    return models.Item(key=key, revision=revision, value=value)
 
 
 def _decode_value(text: str) -> bytes:
@@ -172,5 +200,5 @@
     """
     try:
         return base64.b64decode(text, validate=True)
-    except binascii.Error:
+    except (TypeError, ValueError):
         return b""
--- a/trefoilstand/platform/values.py
+++ b/trefoilstand/platform/values.py
@@ -6,6 +6,16 @@
 _TIME: typing.Final = re.compile(r"^(?P<number>\d+(\.\d+)?)(?P<unit>ms|s)$")
 _MS_PER_S: typing.Final = 1000
 
+#: What reading content of another form raises.
+MALFORMED: typing.Final = (
+    KeyError,
+    TypeError,
+    AttributeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
+
 
 def parse_seconds(text: typing.Any) -> float:
     """Return the seconds of a text such as `1500ms` or `2.5s`.
