Choose again when a target leaves while it is chosen

Traced by its log lines: the target told its load, its entry turned to draining 1 ms later, and the check before the send refused the request (no_target) although three targets were free. Change: the sender reports that nothing was sent, and the target is chosen again; this costs no repeat. Red first: gateway/outcomes, 503 instead of 200.

--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -84,6 +84,13 @@
     When a request for an unknown route is sent
     Then the caller gets status 404 with body ""
 
+  Scenario: A target that leaves while it is chosen is replaced
+    Given a target that answers whole and one that answers whole
+    And a budget of no repeats
+    When the target that is asked first leaves as it tells its load
+    Then the caller gets status 200 with body "done"
+    And the request ran 1 times
+
   Scenario: Repeats stop when the budget is spent
     Given a target that answers shed and one that answers whole
     And a budget of no repeats
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import re
 import time
 
@@ -9,6 +10,7 @@
 
 from features.support import scripted_http
 from trefoilstand.gateway import metrics_page
+from trefoilstand.gateway import models as gateway_models
 from trefoilstand.http import models
 
 
@@ -96,6 +98,37 @@
     context.answer = _run(context, work)
 
 
+@when("the target that is asked first leaves as it tells its load")
+def leave_while_asked(context):
+    async def work(bench):
+        prober = bench.forwarder._placer._scout._prober
+        ask = prober.probe
+        left = []
+
+        async def ask_and_leave(target):
+            found = await ask(target)
+            if not left:
+                left.append(target.target_id)
+                bench.state.registry.set(
+                    dataclasses.replace(
+                        target.record,
+                        state=gateway_models.TargetState.DRAINING,
+                    )
+                )
+                bench.apply()
+            return found
+
+        prober.probe = ask_and_leave
+        return await scripted_http.ask(
+            bench.port,
+            scripted_http.request_bytes(
+                method=b"POST", more=b"Content-Length: 0\r\n"
+            ),
+        )
+
+    context.answer = _run(context, work)
+
+
 @when("a request that may not be repeated is sent {count:d} times")
 def ask_often(context, count):
     async def work(bench):
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -214,18 +214,25 @@
         return asyncio.get_running_loop().create_task(self._attempt(call))
 
     async def _attempt(self, call: calls.Call) -> calls.AttemptEnd:
-        """Choose a target and send the request there once."""
-        placement = await self._placer.place(call)
-        if isinstance(placement, models.Refusal):
-            return calls.AttemptEnd(
-                outcome=models.Outcome.NOT_EXECUTED, refusal=placement
-            )
-        if call.predicted_s == 0.0:
-            call.predicted_s = placement.predicted_s
-            call.sent_s = self._clock.now_s()
-            call.report = placement.report
-            call.report_age_s = placement.report_age_s
-        return await self._sender.send(call, placement)
+        """Choose a target and send the request there once.
+
+        A target that leaves while it is chosen is replaced; the request
+        was not sent, so that this costs no repeat.
+        """
+        end: calls.AttemptEnd | None = None
+        while end is None:
+            placement = await self._placer.place(call)
+            if isinstance(placement, models.Refusal):
+                return calls.AttemptEnd(
+                    outcome=models.Outcome.NOT_EXECUTED, refusal=placement
+                )
+            if call.predicted_s == 0.0:
+                call.predicted_s = placement.predicted_s
+                call.sent_s = self._clock.now_s()
+                call.report = placement.report
+                call.report_age_s = placement.report_age_s
+            end = await self._sender.send(call, placement)
+        return end
 
     def _give_up(self, call: calls.Call) -> server.Answer:
         room = self._placer.room(call.service)
--- a/trefoilstand/gateway/sending.py
+++ b/trefoilstand/gateway/sending.py
@@ -53,18 +53,21 @@
 
     async def send(
         self, call: calls.Call, placement: scout.Placement
-    ) -> calls.AttemptEnd:
+    ) -> calls.AttemptEnd | None:
         """Send a request once; cancelling stops the target's work.
 
         Time and registration are checked again, since both may have
         changed while the target was chosen.
+
+        :returns: None where the target left meanwhile and got nothing.
         """
         target = placement.target
         left_ms = int((call.latest_s - self._clock.now_s()) * _MS_PER_S)
         if left_ms <= 0:
             return self._refuse(placement, models.Refusal.DEADLINE_PASSED)
         if self._table.get(target.target_id) is not target:
-            return self._refuse(placement, models.Refusal.NO_TARGET)
+            self._links.release(target, placement.link)
+            return None
         end = await self._exchange(call, placement, left_ms)
         self._counts.count(
             metrics_page.ATTEMPTS, service=call.service, outcome=end.outcome
