--- a/review/standins.py
+++ b/review/standins.py
@@ -178,6 +178,12 @@
             writer.transport.abort()
         return count
 
+    def waiting_ips(self):
+        """Return the addresses of the hosts whose watches are waiting."""
+        return {
+            writer.get_extra_info("peername")[0] for writer in self._waiting
+        }
+
     async def _serve(self, reader, writer):
         try:
             while True:
