--- a/review/standins.py
+++ b/review/standins.py
@@ -590,6 +590,10 @@
         """Write bytes."""
         self._writer.write(data)
 
+    async def drain(self):
+        """Wait until what was written is on its way."""
+        await self._writer.drain()
+
     async def read(self):
         """Return status, fields and body of one response."""
         line, fields = await read_head(self._reader)
