--- a/review/5/case.py
+++ b/review/5/case.py
@@ -19,6 +19,9 @@
 LEAVES_AFTER_S = 2.0
 #: Time from the end of the readers to the removal of the entry.
 REMOVAL_DELAY_S = 0.02
+#: A reader that has had an answer of the store within this time has just
+#: read it.
+JUST_READ_S = 0.02
 RESTART_DELAY_S = 2.0
 RUN_LENGTH_S = 8.0
 #: Bound `drain`, and how much longer the upstream serves before it exits.
@@ -79,6 +82,9 @@
             for number in range(CLIENTS_PER_HOST)
         ]
         await asyncio.sleep(LEAVES_AFTER_S)
+        # The hosts killed are those that have just read the store.
+        while time.monotonic() - deployment.store.watched_s > JUST_READ_S:
+            await asyncio.sleep(JUST_READ_S / 4)
         if standins.has_trouble():
             tasks.append(asyncio.create_task(kill_readers()))
         await asyncio.sleep(REMOVAL_DELAY_S)
--- a/review/standins.py
+++ b/review/standins.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -31,6 +32,8 @@
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
+#: A case that takes longer could not run as planned.
+MAX_RUN_S = 100.0
 
 
 class NotRunError(Exception):
@@ -132,6 +135,8 @@
         self._waiting = set()
         self._server = None
         self.calls = 0
+        #: Monotonic time at which the last watch began to wait.
+        self.watched_s = 0.0
 
     async def start(self):
         """Start to listen."""
@@ -235,6 +240,7 @@
 
         if not find_events():
             self._waiting.add(writer)
+            self.watched_s = time.monotonic()
             try:
                 async with asyncio.timeout(int(query["wait-ms"]) / 1000):
                     await self._changed.wait()
@@ -770,11 +776,18 @@
     """
     record = Record(path=pathlib.Path(folder) / "record.txt")
     record.write(f"trouble: {has_trouble()}")
+    # Lets the case end its processes if it is stopped from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
+
+    async def run_in_time():
+        async with asyncio.timeout(MAX_RUN_S):
+            return await case(record)
+
     try:
-        has_held = asyncio.run(case(record))
-    except NotRunError as error:
-        record.write(f"not run: {error}")
-        print(f"not run: {error}")
+        has_held = asyncio.run(run_in_time())
+    except Exception as error:
+        record.write(f"not run: {traceback.format_exc()}")
+        print(f"not run: {type(error).__name__}: {error}")
         sys.exit(EXIT_NOT_RUN)
     finally:
         record.close()
