--- a/review/1/case.py
+++ b/review/1/case.py
@@ -43,7 +43,7 @@
             await super().answer(request_id, writer)
             return
         self.runs_in_trouble += 1
-        if self.runs_in_trouble % RUNS_PER_SPOILED_ANSWER != 1:
+        if self.runs_in_trouble % RUNS_PER_SPOILED_ANSWER:
             await super().answer(request_id, writer)
             return
         self.record.write(f"{self.upstream_id} answers {request_id} endlessly")
