--- a/trefoilstand/gateway/registry.py
+++ b/trefoilstand/gateway/registry.py
@@ -12,6 +12,7 @@
 
 from trefoilstand.gateway import const
 from trefoilstand.gateway import models
+from trefoilstand.telemetry import events
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,6 +89,15 @@
             if removed_share >= const.MASS_REMOVAL_SHARE:
                 until_s = max(until_s, now_s + const.MASS_REMOVAL_GRACE_S)
             if now_s < until_s:
+                is_outage = until_s == self._outage_until_s
+                events.info(
+                    events.TargetRetained(
+                        target=record.target_id,
+                        service=record.service,
+                        cause="outage" if is_outage else "mass removal",
+                        retained_s=round(until_s - now_s, 3),
+                    )
+                )
                 self._expired[record.target_id] = _ExpiredEntry(
                     record=record, until_s=until_s
                 )
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -187,6 +187,16 @@
     in_flight: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetRetained(Event):
+    """Record that a target stays in use although its entry disappeared."""
+
+    target: str
+    service: str
+    cause: str
+    retained_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RequestRejected(Event):
     """Record a request that was rejected before a target was chosen."""
