Take a gap in confirmations, not a failed call, for an outage of the store

Cause: any failed call of a host counted as an outage of the store; entries that disappear within 2.1 s of one stay in use, and each further failure prolonged all of them. target_retained shows cause outage while the store answered every call. Fix: an outage is a gap of 1.5 heartbeats or more (2 s at least) between two confirmations of the replica, which also come from peers. Entries of live targets expire after three heartbeats of silence, so no shorter outage can explain a removal, and every longer one leaves such a gap on all hosts. After a failed call the next watch returns at once, so a cut confirms again 0.2 s later. Kept entries are dropped only while the replica is not stale. Two steps of state/replica now confirm the replica as the readers do instead of calling record_outage, which is gone; the bounds are the same.

--- a/features/platform/processes.feature
+++ b/features/platform/processes.feature
@@ -21,6 +21,8 @@
       | drains                       |
       | disappears                   |
       | drains while history is lost |
+      # Review case 3: each cut watch counted as an outage of the store.
+      | disappears while watches are cut |
 
   Scenario: A host that was frozen does not use outdated state
     Given 3 hosts on the platform
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -10,6 +10,7 @@
 from features.support import platform_fleet
 
 _SEND_INTERVAL_S = 0.02
+_CUT_INTERVAL_S = 0.6
 
 
 class _Load:
@@ -42,6 +43,12 @@
         await asyncio.gather(*self._tasks)
 
 
+async def _cut_watches(fleet):
+    while True:
+        await asyncio.sleep(_CUT_INTERVAL_S)
+        fleet.cut_watches()
+
+
 async def _all_serve_path(hosts, path):
     responses = [await host.send(path=path) for host in hosts]
     return all(status == 200 for status, _ in responses)
@@ -96,9 +103,15 @@
 def withdraw_target(context, withdrawal):
     async def scenario(fleet):
         load = _Load(fleet.hosts)
+        cutting = None
+        if "cut" in withdrawal:
+            cutting = asyncio.get_running_loop().create_task(
+                _cut_watches(fleet)
+            )
+            await asyncio.sleep(2)
         await asyncio.sleep(1)
         target = fleet.targets[0]
-        if withdrawal == "disappears":
+        if withdrawal.startswith("disappears"):
             fleet.unregister(target)
         else:
             fleet.register(target, state="draining")
@@ -108,6 +121,8 @@
         context.count_before = len(target.requests)
         await asyncio.sleep(1.5)
         context.count_after = len(target.requests)
+        if cutting is not None:
+            cutting.cancel()
         await load.stop()
         context.results = load.results
 
--- a/features/steps/state_steps.py
+++ b/features/steps/state_steps.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from features.support import scripted_http
+from trefoilstand.experiments import gateway_model
 from trefoilstand.fleet import models
 from trefoilstand.fleet import readers
 from trefoilstand.fleet import replica
@@ -134,18 +135,23 @@
 
 @given("a registered target")
 def register_target(context):
-    context.registry = registry.TargetRegistry()
+    context.now_s = 100.0
+    context.staleness = staleness_tracker.StalenessTracker(
+        random_source=random.Random(1)
+    )
+    context.staleness.confirm(context.now_s)
+    context.registry = registry.TargetRegistry(staleness=context.staleness)
     context.registry.set(_record())
     for number in range(3):
         other = dataclasses.replace(_record(), target_id=f"other-{number}")
         context.registry.set(other)
-    context.now_s = 100.0
 
 
 @when("its entry disappears {when_}")
 def remove_entry(context, when_):
     if when_.startswith("in an outage"):
-        context.registry.record_outage(context.now_s)
+        context.now_s += 4.0
+        context.staleness.confirm(context.now_s)
     if "drained" in when_:
         context.registry.set(
             _record(state=gateway_models.TargetState.DRAINING)
@@ -167,6 +173,8 @@
     assert ("t" in context.registry.eligible_targets()) == (first == "yes")
     if getattr(context, "entry_returns", False):
         context.registry.set(_record())
+    for number in range(1, 7):
+        context.staleness.confirm(context.now_s + number / 2)
     context.registry.expire(context.now_s + 3)
     assert ("t" in context.registry.eligible_targets()) == (later == "yes")
 
@@ -265,7 +273,7 @@
 
 @given("a target that has announced in incarnation {number:d} that it leaves")
 def target_left(context, number):
-    context.registry = registry.TargetRegistry()
+    context.registry = gateway_model.make_registry()
     scripted = scripted_http.ScriptedTarget(target_id="t", behaviour="whole")
     scripted.port = 1
     context.record = dataclasses.replace(scripted.record(), incarnation=number)
--- a/features/support/limited_fleet.py
+++ b/features/support/limited_fleet.py
@@ -165,10 +165,12 @@
         self.state = state.GatewayState(
             decoder=decoder.StoreDecoder(),
             connections=None,
+            target_registry=gateway_model.make_registry(),
             retry_limits=retry_budget.RetryBudgetLimits(
                 ratio=0.2, allowance=56.0, window_s=10.0
             ),
             random_source=random_source,
+            clock=fleet.net.clock,
         )
         self.state.hosts = retry_budget.HostCountTracker(
             now_s=fleet.loop.time()
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -213,6 +213,12 @@
         """Remove the entry of a target from the store."""
         self.store.remove(f"servers/{target.target_id}")
 
+    def cut_watches(self):
+        """Cut the connections on which watches of the store wait."""
+        for connection in list(self._store_server.connections):
+            if not connection.is_idle:
+                connection._transport.abort()
+
     def publish(self, prefixes, safe=(), timeout_ms=1000):
         """Publish a configuration with unsafe and safe routes."""
         self.version += 1
--- /dev/null
+++ b/features/support/reading_host.py
@@ -0,0 +1,223 @@
+"""Entry host that reads a scripted store in simulated time."""
+
+import asyncio
+import json
+import random
+
+from trefoilstand.experiments import virtual_time
+from trefoilstand.fleet import coordinator
+from trefoilstand.fleet import models
+from trefoilstand.fleet import replica
+from trefoilstand.fleet import staleness_tracker
+from trefoilstand.fleet import store
+from trefoilstand.fleet import topology
+from trefoilstand.gateway import registry
+from trefoilstand.gateway import retry_budget
+from trefoilstand.gateway import state
+from trefoilstand.peers import membership
+from trefoilstand.peers import models as peers_models
+from trefoilstand.platform import decoder
+
+_STEP_S = 0.005
+_TICK_INTERVAL_S = 0.25
+_CALL_S = 0.004
+
+
+class ScriptedStore(store.Store):
+    """Store whose outages and cut watches are scheduled.
+
+    :param clock: simulated clock.
+    :param cut_times_s: times at which all waiting watches are cut.
+    :param outages_s: start and end of each outage.
+    """
+
+    def __init__(self, *, clock, cut_times_s=(), outages_s=()):
+        self._clock = clock
+        self._cut_times_s = cut_times_s
+        self._outages_s = outages_s
+        self.revision = 1
+        self._items = {}
+        self._changes = []
+
+    def put(self, key, value):
+        self.revision += 1
+        item = models.Item(key=key, revision=self.revision, value=value)
+        self._items[key] = item
+        self._changes.append(item)
+
+    def remove(self, key):
+        self.revision += 1
+        self._items.pop(key, None)
+        self._changes.append(
+            models.Item(key=key, revision=self.revision, value=None)
+        )
+
+    def is_down(self):
+        now_s = self._clock.now_s()
+        return any(start <= now_s < end for start, end in self._outages_s)
+
+    async def _start_call(self):
+        await asyncio.sleep(_CALL_S)
+        if self.is_down():
+            raise store.StoreError("status 503")
+
+    async def read_all(self):
+        await self._start_call()
+        return models.Delta(
+            after_revision=0,
+            up_to_revision=self.revision,
+            items=tuple(self._items.values()),
+            is_snapshot=True,
+        )
+
+    async def watch(self, after_revision, wait_s):
+        await self._start_call()
+        started_s = self._clock.now_s()
+        while self.revision <= after_revision:
+            if self._clock.now_s() >= started_s + wait_s:
+                break
+            before_s = self._clock.now_s()
+            await asyncio.sleep(_STEP_S)
+            is_cut = any(
+                before_s <= cut_s < self._clock.now_s()
+                for cut_s in self._cut_times_s
+            )
+            if is_cut or self.is_down():
+                raise store.StoreError("connection closed")
+        latest = {
+            item.key: item
+            for item in self._changes
+            if item.revision > after_revision
+        }
+        return models.Delta(
+            after_revision=after_revision,
+            up_to_revision=self.revision,
+            items=tuple(latest.values()),
+        )
+
+    def close(self):
+        return
+
+
+class _AbsentPeers:
+    """Peers of a host that is alone."""
+
+    def __init__(self, *, members):
+        self._members = members
+
+    @property
+    def view(self):
+        return topology.make_topology(
+            self._members.own, self._members.live_members()
+        )
+
+    def announce(self, origin):
+        return
+
+    def announce_confirmation(self, origin):
+        return
+
+    def request_heartbeat(self, address):
+        return
+
+
+class ReadingHost:
+    """Store reader and target table of one host.
+
+    :param clock: simulated clock.
+    :param scripted_store: store that the host reads.
+    """
+
+    def __init__(self, *, clock, scripted_store):
+        random_source = random.Random(1)
+        self._clock = clock
+        members = membership.MemberTable(
+            own=peers_models.Member(
+                peer_address="10.0.0.1:1",
+                caller_address="10.0.0.1:2",
+                failure_domain="a",
+                process_id="p",
+                incarnation=1,
+            ),
+            random_source=random_source,
+            clock=clock,
+        )
+        self.staleness = staleness_tracker.StalenessTracker(
+            random_source=random_source
+        )
+        self.replica = replica.Replica()
+        self.state = state.GatewayState(
+            decoder=decoder.StoreDecoder(),
+            connections=None,
+            target_registry=registry.TargetRegistry(staleness=self.staleness),
+            retry_limits=retry_budget.RetryBudgetLimits(
+                ratio=0.2, allowance=56.0, window_s=10.0
+            ),
+            random_source=random_source,
+            clock=clock,
+        )
+        self.replica.add_listener(self.state.apply_items)
+        self._reader = coordinator.StateCoordinator(
+            store=scripted_store,
+            state=self.replica,
+            staleness=self.staleness,
+            members=members,
+            peers=_AbsentPeers(members=members),
+            random_source=random_source,
+            clock=clock,
+            reads_immediately=True,
+        )
+
+    async def start(self):
+        """Start the reader and the ticks."""
+        await self._reader.start()
+        asyncio.get_running_loop().create_task(self._run_ticks())
+
+    async def _run_ticks(self):
+        while True:
+            await asyncio.sleep(_TICK_INTERVAL_S)
+            self.state.tick(self._clock.now_s())
+
+    def uses(self, target_id):
+        """Return whether a target may get new requests."""
+        return self.state.targets.get(target_id) is not None
+
+
+def make_entry(number, target_state="ready"):
+    """Return the value of a target's entry."""
+    return json.dumps(
+        {
+            "address": f"127.0.0.1:{9000 + number}",
+            "born": 1,
+            "info": {
+                "service": "quotes",
+                "version": "v1",
+                "zone": "a",
+                "slots": 6,
+            },
+            "status": {"state": target_state, "seq": 1, "warmup-left": "0ms"},
+        }
+    ).encode()
+
+
+def run(scenario, *, cut_times_s=(), outages_s=(), target_count=5):
+    """Run a scenario with a host that has read the entries of targets.
+
+    :param scenario: coroutine function, called with clock, store and host.
+    :param cut_times_s: times at which watches are cut.
+    :param outages_s: start and end of each outage.
+    :param target_count: number of targets, ``t0`` and so on.
+    """
+
+    async def run_in_loop(loop):
+        clock = virtual_time.LoopClock(loop=loop)
+        scripted_store = ScriptedStore(
+            clock=clock, cut_times_s=cut_times_s, outages_s=outages_s
+        )
+        for number in range(target_count):
+            scripted_store.put(f"servers/t{number}", make_entry(number))
+        host = ReadingHost(clock=clock, scripted_store=scripted_store)
+        await host.start()
+        await scenario(clock, scripted_store, host)
+
+    virtual_time.run(run_in_loop)
--- a/features/support/scripted_http.py
+++ b/features/support/scripted_http.py
@@ -313,10 +313,12 @@
         self.state = state.GatewayState(
             decoder=decoder.StoreDecoder(),
             connections=self.connections,
+            target_registry=gateway_model.make_registry(),
             retry_limits=retry_budget.RetryBudgetLimits(
                 ratio=0.2, allowance=allowance, window_s=10.0
             ),
             random_source=random_source,
+            clock=clock,
         )
         protocol = target_protocol.PlatformTargetProtocol()
         self.rate_limits = rate_limits.RateLimitTable(
--- a/trefoilstand/experiments/gateway_load.py
+++ b/trefoilstand/experiments/gateway_load.py
@@ -108,10 +108,12 @@
         self.state = state.GatewayState(
             decoder=decoder.StoreDecoder(),
             connections=None,
+            target_registry=gateway_model.make_registry(),
             retry_limits=retry_budget.RetryBudgetLimits(
                 ratio=0.2, allowance=56.0, window_s=10.0
             ),
             random_source=random_source,
+            clock=clock,
         )
         self.state.hosts.update(scenario.hosts, float("-inf"))
         route = _make_route(scenario)
--- a/trefoilstand/experiments/gateway_model.py
+++ b/trefoilstand/experiments/gateway_model.py
@@ -10,9 +10,11 @@
 import random
 import typing
 
+from trefoilstand.fleet import staleness_tracker
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import probing
+from trefoilstand.gateway import registry
 from trefoilstand.gateway import target_protocol
 from trefoilstand.gateway import target_quota
 from trefoilstand.gateway import targets
@@ -333,3 +335,12 @@
             connection=await self._connections.acquire(target),
             is_healthy=True,
         )
+
+
+def make_registry() -> registry.TargetRegistry:
+    """Return an empty registry of targets without a store."""
+    return registry.TargetRegistry(
+        staleness=staleness_tracker.StalenessTracker(
+            random_source=random.Random(0)
+        )
+    )
--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -84,6 +84,17 @@
 #: Random spread of that age over hosts, so that they do not all read at
 #: once.
 STALE_AGE_JITTER_S: typing.Final = 0.3
+#: Interval of the targets' heartbeats to the store, unless the settings name
+#: another one.
+DEFAULT_ENTRY_HEARTBEAT_S: typing.Final = 1.5
+#: The store drops an entry after three intervals without a heartbeat, of which
+#: up to one may have passed when an outage begins.  An outage of less than two
+#: intervals therefore expires no entry; half of one is a margin for late
+#: heartbeats.
+MIN_EXPIRY_OUTAGE_HEARTBEATS: typing.Final = 1.5
+#: A replica may go unconfirmed for nearly this long although the store is
+#: available, until the host reads for itself.
+MIN_OUTAGE_S: typing.Final = 2.0
 #: Replica age from which a host queries a relay of its domain by datagram,
 #: the age from which it queries a reader, and the minimum interval between
 #: two such queries.
--- a/trefoilstand/fleet/coordinator.py
+++ b/trefoilstand/fleet/coordinator.py
@@ -66,7 +66,6 @@
         self.read_count = 0
         self._needs_snapshot = False
         self._task: asyncio.Task[None] | None = None
-        self.last_outage_s: float | None = None
         self._readers: list[str] = []
         self._readers_version = -1
 
@@ -102,7 +101,13 @@
         return self._members.own.peer_address in self._reader_addresses()
 
     def _watch_wait_s(self) -> float:
-        """Return how long the store may hold the next watch."""
+        """Return how long the store may hold the next watch.
+
+        After a failure it responds at once, as the replica may be outdated
+        and the store may only have cut the connection.
+        """
+        if self._consecutive_failures:
+            return 0.0
         reader_addresses = self._reader_addresses()
         own_address = self._members.own.peer_address
         if own_address not in reader_addresses:
@@ -213,7 +218,6 @@
                 )
             )
         self._consecutive_failures += 1
-        self.last_outage_s = self._clock.now_s()
         backoff_s = min(
             const.MIN_BACKOFF_S * 2 ** min(self._consecutive_failures - 1, 8),
             const.MAX_BACKOFF_S,
@@ -227,5 +231,4 @@
                     dependency="store", failures=self._consecutive_failures
                 )
             )
-            self.last_outage_s = self._clock.now_s()
         self._consecutive_failures = 0
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -20,6 +20,7 @@
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import probe_budget
 from trefoilstand.gateway import probing
+from trefoilstand.gateway import registry
 from trefoilstand.gateway import replication
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import settings as gateway_settings
@@ -101,8 +102,12 @@
         self.state = state.GatewayState(
             decoder=decoder,
             connections=self.connections,
+            target_registry=registry.TargetRegistry(
+                staleness=self.fleet.staleness
+            ),
             retry_limits=_make_retry_limits(settings),
             random_source=random_source,
+            clock=self._clock,
         )
         self.state.hosts = retry_budget.HostCountTracker(
             now_s=time.monotonic()
@@ -325,7 +330,7 @@
             reported_count=self.fleet.members.reported_live_count,
         )
         self.fleet.host_ranking.update(now_s)
-        self.state.tick(now_s, self.fleet.reader)
+        self.state.tick(now_s)
         self.connections.close_expired()
         self._update_probe_rate()
         if self.phase is Phase.LEAVING:
--- a/trefoilstand/gateway/registry.py
+++ b/trefoilstand/gateway/registry.py
@@ -9,39 +9,49 @@
 
 import collections
 import dataclasses
+import enum
+import math
 
+from trefoilstand.fleet import staleness_tracker
 from trefoilstand.gateway import const
 from trefoilstand.gateway import models
 from trefoilstand.telemetry import events
 
 
+class RetentionCause(enum.StrEnum):
+    """Enumerate why a target without an entry stays in use."""
+
+    OUTAGE = "outage"
+    MASS_REMOVAL = "mass_removal"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _ExpiredEntry:
     """Hold an entry that may have expired because of an outage.
 
     :param record: the registration.
-    :param until_s: monotonic time up to which its target stays eligible.
+    :param cause: why its target stays eligible.
+    :param until_s: monotonic time up to which it does so.
     """
 
     record: models.TargetRecord
+    cause: RetentionCause
     until_s: float
 
 
 class TargetRegistry:
-    """Hold the registered targets and those known to be leaving."""
+    """Hold the registered targets and those known to be leaving.
+
+    :param staleness: tells when the store was unavailable.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, staleness: staleness_tracker.StalenessTracker
+    ) -> None:
+        self._staleness = staleness
         self._records: dict[str, models.TargetRecord] = {}
         self._leaving: dict[str, int] = {}
         self._expired: dict[str, _ExpiredEntry] = {}
-        self._outage_until_s = float("-inf")
-
-    def record_outage(self, now_s: float) -> None:
-        """Record that the store was unavailable.
-
-        :param now_s: monotonic time at which the outage was observed.
-        """
-        self._outage_until_s = now_s + const.OUTAGE_EXPIRY_GRACE_S
 
     def set(self, record: models.TargetRecord) -> None:
         """Add or update the entry of a target.
@@ -82,25 +92,46 @@
             record.service for record in removed
         )
         for record in removed:
-            until_s = self._outage_until_s
             removed_share = (
                 removed_counts[record.service] / present_counts[record.service]
             )
-            if removed_share >= const.MASS_REMOVAL_SHARE:
-                until_s = max(until_s, now_s + const.MASS_REMOVAL_GRACE_S)
-            if now_s < until_s:
-                is_outage = until_s == self._outage_until_s
-                events.info(
-                    events.TargetRetained(
-                        target=record.target_id,
-                        service=record.service,
-                        cause="outage" if is_outage else "mass removal",
-                        retained_s=round(until_s - now_s, 3),
-                    )
-                )
-                self._expired[record.target_id] = _ExpiredEntry(
-                    record=record, until_s=until_s
-                )
+            self._retain(
+                record,
+                now_s,
+                is_mass_removal=removed_share >= const.MASS_REMOVAL_SHARE,
+            )
+
+    def _retain(
+        self,
+        record: models.TargetRecord,
+        now_s: float,
+        *,
+        is_mass_removal: bool,
+    ) -> None:
+        """Keep a removed target eligible if its entry may have expired."""
+        cause = RetentionCause.OUTAGE
+        until_s = self._outage_grace_end_s(now_s)
+        if now_s >= until_s and is_mass_removal:
+            cause = RetentionCause.MASS_REMOVAL
+            until_s = now_s + const.MASS_REMOVAL_GRACE_S
+        if now_s >= until_s:
+            return
+        self._expired[record.target_id] = _ExpiredEntry(
+            record=record, cause=cause, until_s=until_s
+        )
+        events.info(
+            events.TargetRetained(
+                target=record.target_id,
+                service=record.service,
+                cause=cause,
+                retained_s=round(until_s - now_s, 3),
+            )
+        )
+
+    def _outage_grace_end_s(self, now_s: float) -> float:
+        """Return when entries that expired in an outage must be back."""
+        outage_s = self._staleness.last_outage_s(now_s)
+        return outage_s + const.OUTAGE_EXPIRY_GRACE_S
 
     def expire(self, now_s: float) -> bool:
         """Drop expired entries that were not registered again in time.
@@ -111,12 +142,20 @@
         dropped_ids = [
             target_id
             for target_id, entry in self._expired.items()
-            if now_s >= entry.until_s and now_s >= self._outage_until_s
+            if now_s >= self._retained_until_s(entry, now_s)
         ]
         for target_id in dropped_ids:
             del self._expired[target_id]
         return bool(dropped_ids)
 
+    def _retained_until_s(self, entry: _ExpiredEntry, now_s: float) -> float:
+        if entry.cause is RetentionCause.MASS_REMOVAL:
+            return entry.until_s
+        if self._staleness.is_stale(now_s):
+            # The entry may be back, unknown to this host.
+            return math.inf
+        return max(entry.until_s, self._outage_grace_end_s(now_s))
+
     def is_leaving(self, target_id: str) -> bool:
         """Return whether a target has announced that it leaves."""
         return target_id in self._leaving
--- a/trefoilstand/gateway/replication.py
+++ b/trefoilstand/gateway/replication.py
@@ -64,7 +64,8 @@
             random_source=random_source
         )
         self.staleness = staleness_tracker.StalenessTracker(
-            random_source=random_source
+            random_source=random_source,
+            entry_heartbeat_s=settings.entry_heartbeat_s,
         )
         self.transfers = state_fetcher.StateFetcher(
             state=self.replica,
--- a/trefoilstand/gateway/settings.py
+++ b/trefoilstand/gateway/settings.py
@@ -35,6 +35,8 @@
     :param is_first_start: whether the whole fleet starts for the first
         time, with no callers waiting.
     :param drain_s: seconds after which a leaving target gets no new requests.
+    :param entry_heartbeat_s: seconds between two heartbeats of a target to the
+        store.
     :param grace_s: seconds from SIGTERM to SIGKILL.
     :param answer_lifetime_s: seconds for which callers may cache the
         addresses of entry hosts.
@@ -58,6 +60,7 @@
     store_endpoint: Endpoint
     is_first_start: bool
     drain_s: float
+    entry_heartbeat_s: float
     grace_s: float
     answer_lifetime_s: float
     retry_ratio: float
--- a/trefoilstand/gateway/state.py
+++ b/trefoilstand/gateway/state.py
@@ -3,10 +3,8 @@
 import abc
 import asyncio
 import random
-import time
 import typing
 
-from trefoilstand.fleet import coordinator
 from trefoilstand.fleet import models as fleet_models
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pool
@@ -15,6 +13,7 @@
 from trefoilstand.gateway import routing
 from trefoilstand.gateway import targets
 from trefoilstand.telemetry import events
+from trefoilstand.util import clock as clocks
 
 
 class ItemDecoder(abc.ABC):
@@ -61,8 +60,10 @@
     :param decoder: decodes items of the store.
     :param connections: connections to targets, closed when their target is
         removed; None in simulations.
+    :param target_registry: registered targets.
     :param retry_limits: retry budget of each service.
     :param random_source: randomizes the start of traffic splits.
+    :param clock: monotonic clock.
     """
 
     def __init__(
@@ -70,14 +71,17 @@
         *,
         decoder: ItemDecoder,
         connections: pool.ConnectionPool | None,
+        target_registry: registry.TargetRegistry,
         retry_limits: retry_budget.RetryBudgetLimits,
         random_source: random.Random,
+        clock: clocks.Clock,
     ) -> None:
         self._decoder = decoder
         self._connections = connections
+        self._clock = clock
         self.retry_limits = retry_limits
         self.targets = targets.TargetTable()
-        self.registry = registry.TargetRegistry()
+        self.registry = target_registry
         self.configuration: models.GatewayConfiguration | None = None
         self.routes: routing.RouteTable | None = None
         self.splits = routing.SplitBalancer(random_source=random_source)
@@ -99,7 +103,7 @@
         """
         has_targets = False
         removed_ids: list[str] = []
-        now_s = time.monotonic()
+        now_s = self._clock.now_s()
         for item in items:
             if self._decoder.is_configuration(item.key):
                 self._apply_configuration(item)
@@ -121,15 +125,11 @@
         if self.configuration is not None:
             self.is_loaded.set()
 
-    def tick(self, now_s: float, reader: coordinator.StateCoordinator) -> None:
+    def tick(self, now_s: float) -> None:
         """Drop expired targets.
 
         :param now_s: monotonic time.
-        :param reader: knows when the store was last unavailable.
         """
-        outage_s = reader.last_outage_s
-        if outage_s is not None:
-            self.registry.record_outage(outage_s)
         if self.registry.expire(now_s):
             self._apply_targets(now_s)
 
--- a/trefoilstand/platform/settings.py
+++ b/trefoilstand/platform/settings.py
@@ -18,6 +18,8 @@
 #: Memory limit assumed where the file names none; the smallest hosts have
 #: this much.
 _DEFAULT_MEMORY_MB: typing.Final = 200
+#: Interval of the targets' heartbeats assumed where the file names none.
+_DEFAULT_HEARTBEAT: typing.Final = "1500ms"
 _BYTES_PER_MB: typing.Final = 1024 * 1024
 
 
@@ -67,6 +69,9 @@
         store_endpoint=_parse_endpoint(raw["platform"]["address"]),
         is_first_start=bool(raw.get("bootstrap")),
         drain_s=values.parse_seconds(bounds.get("drain", "2s")),
+        entry_heartbeat_s=values.parse_seconds(
+            raw.get("heartbeat", _DEFAULT_HEARTBEAT)
+        ),
         grace_s=values.parse_seconds(bounds.get("grace", "6s")),
         answer_lifetime_s=ttl_max_s * _ANSWER_LIFETIME_SHARE,
         retry_ratio=float(bounds.get("budget-ratio", "0.2")),
