Count the grace for mass removals from the last confirmation

Cause: the host learns of the removal up to 1.75 s after it, since it first notices that nobody confirms its replica; the grace for the removal of half of a service was 1.2 s from then on (target_retained with cause mass_removal). Fix: the grace ends 0.5 s before drain is over, counted from the last time at which the replica was current; the store cannot have removed the entries earlier. drain is that of the settings. Without a late read, the grace stays between 0.5 and 1.5 s.

--- a/features/platform/processes.feature
+++ b/features/platform/processes.feature
@@ -24,6 +24,13 @@
       # Review case 3: each cut watch counted as an outage of the store.
       | disappears while watches are cut |
 
+  # Review case 5: the grace for a mass removal, here of one of two targets, was
+  # added to the delay until a host noticed the loss of the readers.
+  Scenario: The readers are killed right before a target disappears
+    Given 3 hosts on the platform
+    When the hosts that read the store are killed and 1 of 2 targets disappears
+    Then the remaining hosts send it no requests 2000 ms later
+
   Scenario: A host that was frozen does not use outdated state
     Given 3 hosts on the platform
     When a host is frozen for 3 s while a target drains
--- a/features/state/expiry.feature
+++ b/features/state/expiry.feature
@@ -45,3 +45,24 @@
     Given a store that is down from 10 s to 14.5 s
     When all entries expire in the first outage and return after 99 s
     Then no target is in use 4 s after the outage
+
+  # Review case 5: the delay until a host learned of a removal and the grace for
+  # mass removals added up to more than the time to drain.
+  Scenario Outline: A mass removal right after the loss of both readers
+    Given host <number> whose readers of the store are lost after 10 s
+    When the entry of one of 2 targets disappears after <removed> s
+    Then the target gets no new requests 2 s later
+
+    Examples:
+      | number | removed |
+      | 1      | 10.02   |
+      | 2      | 10.02   |
+      | 3      | 10.02   |
+      | 4      | 10.3    |
+      | 5      | 11.2    |
+
+  Scenario: A mass removal without an observed outage
+    Given a store whose watches are cut never
+    When the entry of one of 2 targets disappears after 10 s
+    Then the target gets new requests for 0.5 s
+    And the target gets no new requests 2 s later
--- a/features/steps/expiry_steps.py
+++ b/features/steps/expiry_steps.py
@@ -37,14 +37,38 @@
     )
 
 
-def _run(context, scenario):
+@given(
+    "host {number:d} whose readers of the store are lost after {lost_s:g} s"
+)
+def host_without_readers(context, number, lost_s):
+    context.cut_times_s = ()
+    context.outages_s = ()
+    context.seed = number
+    context.readers_lost_s = lost_s
+
+
+def _run(context, scenario, target_count=5):
     reading_host.run(
-        scenario, cut_times_s=context.cut_times_s, outages_s=context.outages_s
+        scenario,
+        cut_times_s=context.cut_times_s,
+        outages_s=context.outages_s,
+        target_count=target_count,
+        seed=getattr(context, "seed", 1),
+        readers_lost_s=getattr(context, "readers_lost_s", None),
     )
 
 
 @when("the entry of a target disappears after {removed_s:g} s")
-def remove_one(context, removed_s):
+def remove_one_of_many(context, removed_s):
+    _remove_one(context, removed_s, 5)
+
+
+@when("the entry of one of 2 targets disappears after {removed_s:g} s")
+def remove_one_of_two(context, removed_s):
+    _remove_one(context, removed_s, 2)
+
+
+def _remove_one(context, removed_s, target_count):
     async def scenario(clock, store, host):
         await asyncio.sleep(removed_s)
         assert host.uses("t0")
@@ -55,7 +79,15 @@
             assert host.uses("t1")
             await asyncio.sleep(_SAMPLE_INTERVAL_S)
 
-    _run(context, scenario)
+    _run(context, scenario, target_count)
+
+
+@then("the target gets new requests for {minimum_s:g} s")
+def check_used(context, minimum_s):
+    early = [
+        is_used for after_s, is_used in context.uses if after_s < minimum_s
+    ]
+    assert early and all(early), early
 
 
 @then("the target gets no new requests {bound_s:g} s later")
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -71,17 +71,60 @@
     platform_fleet.run(context.host_count, scenario)
 
 
+async def _sort_by_reads(hosts):
+    """Return the hosts with those that read the store most first."""
+    store_reads = {}
+    for host in hosts:
+        _, body = await host.fetch_page(9464, "/metrics")
+        for line in body.decode().splitlines():
+            if line.startswith("trefoilstand_store_reads "):
+                store_reads[host.ip] = float(line.split()[1])
+    return sorted(hosts, key=lambda host: -store_reads[host.ip])
+
+
+@when("the hosts that read the store are killed and 1 of 2 targets disappears")
+def kill_readers_and_remove_target(context):
+    async def scenario(fleet):
+        await asyncio.sleep(4)
+        by_reads = await _sort_by_reads(fleet.hosts)
+        load = _Load(by_reads[2:])
+        await asyncio.sleep(0.5)
+        # The replica was just confirmed when a reader begins its next call.
+        calls = fleet.store.calls
+        while fleet.store.calls == calls:
+            await asyncio.sleep(0.002)
+        await asyncio.sleep(0.01)
+        for host in by_reads[:2]:
+            host.stop()
+        await asyncio.sleep(0.02)
+        target = fleet.targets[0]
+        fleet.unregister(target)
+        removed_s = time.monotonic()
+        await asyncio.sleep(4)
+        await load.stop()
+        context.arrivals_s = [
+            arrival_s - removed_s for arrival_s in target.arrivals_s
+        ]
+
+    platform_fleet.run(context.host_count, scenario, targets=2)
+
+
+@then("the remaining hosts send it no requests {bound_ms:d} ms later")
+def check_no_late_arrivals(context, bound_ms):
+    assert any(arrival_s > 0 for arrival_s in context.arrivals_s)
+    late_s = [
+        arrival_s
+        for arrival_s in context.arrivals_s
+        if arrival_s * 1000 > bound_ms
+    ]
+    assert not late_s, (len(late_s), max(late_s))
+
+
 @when("the hosts that read the store are killed and a route is added")
 def kill_readers(context):
     async def scenario(fleet):
         await asyncio.sleep(1)
-        store_reads = {}
-        for host in fleet.hosts:
-            _, body = await host.fetch_page(9464, "/metrics")
-            for line in body.decode().splitlines():
-                if line.startswith("trefoilstand_store_reads "):
-                    store_reads[host.ip] = float(line.split()[1])
-        by_reads = sorted(fleet.hosts, key=lambda host: -store_reads[host.ip])
+        by_reads = await _sort_by_reads(fleet.hosts)
         for host in by_reads[:2]:
             host.stop()
         fleet.publish(["/q/", "/new/"])
--- a/features/steps/state_steps.py
+++ b/features/steps/state_steps.py
@@ -140,7 +140,9 @@
         random_source=random.Random(1)
     )
     context.staleness.confirm(context.now_s)
-    context.registry = registry.TargetRegistry(staleness=context.staleness)
+    context.registry = registry.TargetRegistry(
+        staleness=context.staleness, drain_s=2.0
+    )
     context.registry.set(_record())
     for number in range(3):
         other = dataclasses.replace(_record(), target_id=f"other-{number}")
--- a/features/support/reading_host.py
+++ b/features/support/reading_host.py
@@ -7,6 +7,7 @@
 from trefoilstand.experiments import virtual_time
 from trefoilstand.fleet import coordinator
 from trefoilstand.fleet import models
+from trefoilstand.fleet import readers
 from trefoilstand.fleet import replica
 from trefoilstand.fleet import staleness_tracker
 from trefoilstand.fleet import store
@@ -99,8 +100,8 @@
         return
 
 
-class _AbsentPeers:
-    """Peers of a host that is alone."""
+class _SilentPeers:
+    """Peers that never respond."""
 
     def __init__(self, *, members):
         self._members = members
@@ -126,22 +127,26 @@
 
     :param clock: simulated clock.
     :param scripted_store: store that the host reads.
+    :param seed: seed of the host's random numbers.
+    :param readers_lost_s: time until which two other hosts read the store for
+        this one, None if it reads the store itself.
     """
 
-    def __init__(self, *, clock, scripted_store):
-        random_source = random.Random(1)
+    def __init__(self, *, clock, scripted_store, seed, readers_lost_s):
+        random_source = random.Random(seed)
         self._clock = clock
+        self._store = scripted_store
+        self._readers_lost_s = readers_lost_s
+        self._tasks = []
+        *others, own = sorted(
+            (_make_member(number) for number in (1, 2, 3)), key=readers.rank
+        )
         members = membership.MemberTable(
-            own=peers_models.Member(
-                peer_address="10.0.0.1:1",
-                caller_address="10.0.0.1:2",
-                failure_domain="a",
-                process_id="p",
-                incarnation=1,
-            ),
-            random_source=random_source,
-            clock=clock,
+            own=own, random_source=random_source, clock=clock
         )
+        if readers_lost_s is not None:
+            for member in others:
+                members.apply(member, clock.now_s())
         self.staleness = staleness_tracker.StalenessTracker(
             random_source=random_source
         )
@@ -149,7 +154,9 @@
         self.state = state.GatewayState(
             decoder=decoder.StoreDecoder(),
             connections=None,
-            target_registry=registry.TargetRegistry(staleness=self.staleness),
+            target_registry=registry.TargetRegistry(
+                staleness=self.staleness, drain_s=2.0
+            ),
             retry_limits=retry_budget.RetryBudgetLimits(
                 ratio=0.2, allowance=56.0, window_s=10.0
             ),
@@ -162,7 +169,7 @@
             state=self.replica,
             staleness=self.staleness,
             members=members,
-            peers=_AbsentPeers(members=members),
+            peers=_SilentPeers(members=members),
             random_source=random_source,
             clock=clock,
             reads_immediately=True,
@@ -171,7 +178,19 @@
     async def start(self):
         """Start the reader and the ticks."""
         await self._reader.start()
-        asyncio.get_running_loop().create_task(self._run_ticks())
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self._run_ticks())]
+        if self._readers_lost_s is not None:
+            self._tasks.append(loop.create_task(self._receive_state()))
+
+    async def _receive_state(self):
+        """Receive the changes and confirmations of the readers."""
+        while self._clock.now_s() < self._readers_lost_s:
+            await asyncio.sleep(_STEP_S)
+            if self.replica.revision:
+                delta = await self._store.watch(self.replica.revision, 0.0)
+                self.replica.apply(delta)
+                self.staleness.confirm(self._clock.now_s())
 
     async def _run_ticks(self):
         while True:
@@ -183,6 +202,16 @@
         return self.state.targets.get(target_id) is not None
 
 
+def _make_member(number):
+    return peers_models.Member(
+        peer_address=f"10.0.0.{number}:1",
+        caller_address=f"10.0.0.{number}:2",
+        failure_domain="a",
+        process_id=f"p{number}",
+        incarnation=1,
+    )
+
+
 def make_entry(number, target_state="ready"):
     """Return the value of a target's entry."""
     return json.dumps(
@@ -200,13 +229,24 @@
     ).encode()
 
 
-def run(scenario, *, cut_times_s=(), outages_s=(), target_count=5):
+def run(
+    scenario,
+    *,
+    cut_times_s=(),
+    outages_s=(),
+    target_count=5,
+    seed=1,
+    readers_lost_s=None,
+):
     """Run a scenario with a host that has read the entries of targets.
 
     :param scenario: coroutine function, called with clock, store and host.
     :param cut_times_s: times at which watches are cut.
     :param outages_s: start and end of each outage.
     :param target_count: number of targets, ``t0`` and so on.
+    :param seed: seed of the host's random numbers.
+    :param readers_lost_s: time until which other hosts read the store for
+        this one, None if it reads the store itself.
     """
 
     async def run_in_loop(loop):
@@ -216,7 +256,12 @@
         )
         for number in range(target_count):
             scripted_store.put(f"servers/t{number}", make_entry(number))
-        host = ReadingHost(clock=clock, scripted_store=scripted_store)
+        host = ReadingHost(
+            clock=clock,
+            scripted_store=scripted_store,
+            seed=seed,
+            readers_lost_s=readers_lost_s,
+        )
         await host.start()
         await scenario(clock, scripted_store, host)
 
--- a/trefoilstand/experiments/gateway_model.py
+++ b/trefoilstand/experiments/gateway_model.py
@@ -27,6 +27,8 @@
 _WORK_MU: typing.Final = -0.045
 #: Time that a target takes to answer a health check.
 _HEALTH_CHECK_S: typing.Final = 0.001
+#: Time from the removal of a target's entry to its last new request.
+_DRAIN_S: typing.Final = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -342,5 +344,6 @@
     return registry.TargetRegistry(
         staleness=staleness_tracker.StalenessTracker(
             random_source=random.Random(0)
-        )
+        ),
+        drain_s=_DRAIN_S,
     )
--- a/trefoilstand/fleet/staleness_tracker.py
+++ b/trefoilstand/fleet/staleness_tracker.py
@@ -58,6 +58,14 @@
         self._confirmed_s = _NEVER_S
         self._is_invalidated = True
 
+    @property
+    def confirmed_s(self) -> float:
+        """Return the last time at which the replica was known to be current.
+
+        It is a monotonic time, minus infinity without a confirmation.
+        """
+        return self._confirmed_s
+
     def age_s(self, now_s: float) -> float:
         """Return the age in seconds, infinite before any confirmation."""
         return now_s - self._confirmed_s
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -103,7 +103,7 @@
             decoder=decoder,
             connections=self.connections,
             target_registry=registry.TargetRegistry(
-                staleness=self.fleet.staleness
+                staleness=self.fleet.staleness, drain_s=settings.drain_s
             ),
             retry_limits=_make_retry_limits(settings),
             random_source=random_source,
--- a/trefoilstand/gateway/const.py
+++ b/trefoilstand/gateway/const.py
@@ -138,7 +138,8 @@
 #: within 2 s of its recovery if their targets are alive.
 OUTAGE_EXPIRY_GRACE_S: typing.Final = 2.1
 #: Share of a service's entries whose removal in one batch is treated as an
-#: expiry during an outage, and how long these entries are kept then; targets
-#: that really leave must get no new requests 2 s after the store's response.
+#: expiry during an outage.
 MASS_REMOVAL_SHARE: typing.Final = 0.5
-MASS_REMOVAL_GRACE_S: typing.Final = 1.2
+#: Time before the end of the drain period at which such entries are dropped:
+#: one tick until they are, and the timeout of a connection being opened.
+DRAIN_MARGIN_S: typing.Final = 0.5
--- a/trefoilstand/gateway/registry.py
+++ b/trefoilstand/gateway/registry.py
@@ -42,13 +42,20 @@
 class TargetRegistry:
     """Hold the registered targets and those known to be leaving.
 
-    :param staleness: tells when the store was unavailable.
+    :param staleness: tells how old the known entries may be and when the
+        store was unavailable.
+    :param drain_s: seconds from the removal of an entry by the store after
+        which its target must get no new requests.
     """
 
     def __init__(
-        self, *, staleness: staleness_tracker.StalenessTracker
+        self,
+        *,
+        staleness: staleness_tracker.StalenessTracker,
+        drain_s: float,
     ) -> None:
         self._staleness = staleness
+        self._drain_s = drain_s
         self._records: dict[str, models.TargetRecord] = {}
         self._leaving: dict[str, int] = {}
         self._expired: dict[str, _ExpiredEntry] = {}
@@ -113,7 +120,12 @@
         until_s = self._outage_grace_end_s(now_s)
         if now_s >= until_s and is_mass_removal:
             cause = RetentionCause.MASS_REMOVAL
-            until_s = now_s + const.MASS_REMOVAL_GRACE_S
+            # The store removed the entries after the last confirmation.
+            until_s = (
+                self._staleness.confirmed_s
+                + self._drain_s
+                - const.DRAIN_MARGIN_S
+            )
         if now_s >= until_s:
             return
         self._expired[record.target_id] = _ExpiredEntry(
