--- a/trefoilstand/http/outbound_connection.py
+++ b/trefoilstand/http/outbound_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import time
 import typing
 
 import httptools
@@ -22,6 +23,9 @@
 #: precede the response of an exchange.
 _MAX_INTERIM_RESPONSES: typing.Final = 16
 _MAX_FOREIGN_RESPONSES: typing.Final = 8
+#: Parsing that takes longer is logged.
+_SLOW_INPUT_S: typing.Final = 0.01
+_MS_PER_S: typing.Final = 1000
 _STATUSES_WITHOUT_BODY: typing.Final = frozenset({204, 304})
 _FIRST_FINAL_STATUS: typing.Final = 200
 
@@ -147,12 +151,22 @@
             self.abort()
             return
         self._unparsed_bytes += len(data)
+        started_s = time.monotonic()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fail_exchange(models.ConnectionFault.MALFORMED)
         except httptools.HttpParserError:
             self._fail_exchange(models.ConnectionFault.MALFORMED)
+        duration_s = time.monotonic() - started_s
+        if duration_s >= _SLOW_INPUT_S:
+            events.warning(
+                events.InputSlow(
+                    peer=self._peer,
+                    size_bytes=len(data),
+                    duration_ms=round(duration_s * _MS_PER_S, 1),
+                )
+            )
         if self._unparsed_bytes > MAX_HEADER_BYTES:
             self._fail_exchange(models.ConnectionFault.HEADER_TOO_LARGE)
 
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -80,6 +80,15 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InputSlow(Event):
+    """Record that parsing bytes of one connection held up all others."""
+
+    peer: str
+    size_bytes: int
+    duration_ms: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class InvariantBroken(Event):
     """Record that an internal consistency check failed."""
