Drop odd entries and keys at the boundary of the store

Reported by operators of similar systems: one odd entry among those of the targets ended the machines that read the list, or they stopped following it. Seen here: no process ended. A key with half a surrogate pair ended the exchange between hosts for good (component_failed heartbeats, UnicodeEncodeError); one with a line break went into the header of requests; a number of slots with 400 digits was accepted and cannot be multiplied with a share (OverflowError), one with 20 digits stands for boundless capacity; one item with a malformed key made its page, and so the store, unreadable. Cause: entries were checked for types but not for range, keys not at all. Fix: target IDs are 1 to 200 visible characters; slots, warm-up and start time have bounds; service and zone can be encoded; unspecified, multicast and reserved addresses name no target. Malformed items are dropped one by one, with a line entry_dropped. Tests: platform/fuzz, 16 of 19 new examples failed before; platform/processes, 'Another writer leaves odd entries among those of the targets', failed before.

--- a/features/platform/fuzz.feature
+++ b/features/platform/fuzz.feature
@@ -28,6 +28,43 @@
       | born               | "1"                  |
       | born               | 1.5                  |
 
+  # Operators report that one odd entry of another writer made hosts end or stop
+  # following the list.
+  Scenario Outline: Entries out of range or nested too deeply
+    Given an entry with <content>
+    Then it is dropped
+
+    Examples:
+      | content                      |
+      | 100000 nested lists          |
+      | 400 digits of slots          |
+      | 20 digits of slots           |
+      | 400 digits of born           |
+      | 30 digits of born            |
+      | 5000 digits of born          |
+      | 400 digits of warm-up        |
+      | 20 digits of warm-up         |
+      | 5000 digits of port          |
+      | the address 0.0.0.0:80       |
+      | the address 224.0.0.1:80     |
+      | the address 255.255.255.255:80 |
+      | half a surrogate pair as zone |
+      | half a surrogate pair as service |
+
+  Scenario Outline: Keys that name no target
+    Given a page of the store with the key <key> and a valid one
+    Then the valid one is read
+    And hosts exchange the items of the page
+    And requests name no target with the key <key>
+
+    Examples:
+      | key                        |
+      | "servers/"                 |
+      | "servers/a\r\nX-Field: y"  |
+      | "servers/a b"              |
+      | "servers/\ud800"           |
+      | 7                          |
+
   Scenario Outline: Contents of the store
     Given <content> of the store with arbitrary content
     Then each is decoded or fails with the expected error
--- a/features/platform/processes.feature
+++ b/features/platform/processes.feature
@@ -93,6 +93,14 @@
     Then every request was answered
     And all targets still get requests
 
+  # Operators report that one odd entry made hosts end or stop following.
+  Scenario: Another writer leaves odd entries among those of the targets
+    Given 3 hosts on the platform
+    When odd entries are written under load and then a route is added
+    Then every request was answered
+    And all hosts serve it within 2000 ms
+    And no host has ended or logged a failed component
+
   Scenario: All hosts are killed at once
     Given 4 hosts on the platform
     When all hosts are killed and started again
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -142,7 +142,7 @@
             return
         for endpoint in ("kv-range", "kv-watch"):
             try:
-                _read_store(endpoint, data)
+                read_store(endpoint, data)
             except stores.StoreError:
                 continue
 
@@ -189,7 +189,7 @@
         return
 
 
-def _read_store(endpoint, body):
+def read_store(endpoint, body):
     """Read from a store that responds with the given body."""
 
     async def run_async():
@@ -213,7 +213,7 @@
 @then("the read fails with a store error")
 def read_fails(context):
     try:
-        content = _read_store(context.path, context.body)
+        content = read_store(context.path, context.body)
     except stores.StoreError:
         return
     raise AssertionError(f"no store error, but content: {content}")
@@ -235,7 +235,7 @@
 def check_valid_is_read(context):
     values = {
         item.key: item.value
-        for item in _read_store("kv-range", context.body).items
+        for item in read_store("kv-range", context.body).items
     }
     assert values["servers/c"] == b"x", values
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,7 +13,7 @@
 _CUT_INTERVAL_S = 0.6
 
 
-class _Load:
+class Load:
     """Send requests to hosts in turn until it is stopped."""
 
     def __init__(self, hosts):
@@ -49,7 +49,7 @@
         fleet.cut_watches()
 
 
-async def _all_serve_path(hosts, path):
+async def all_serve_path(hosts, path):
     responses = [await host.send(path=path) for host in hosts]
     return all(status == 200 for status, _ in responses)
 
@@ -65,7 +65,7 @@
         await asyncio.sleep(1)
         fleet.publish(["/q/", "/new/"])
         context.elapsed_s = await fleet.wait_for(
-            lambda: _all_serve_path(fleet.hosts, "/new/x"), 5
+            lambda: all_serve_path(fleet.hosts, "/new/x"), 5
         )
 
     platform_fleet.run(context.host_count, scenario)
@@ -87,7 +87,7 @@
     async def scenario(fleet):
         await asyncio.sleep(4)
         by_reads = await _sort_by_reads(fleet.hosts)
-        load = _Load(by_reads[2:])
+        load = Load(by_reads[2:])
         await asyncio.sleep(0.5)
         # The replica was just confirmed when a reader begins its next call.
         calls = fleet.store.calls
@@ -129,7 +129,7 @@
             host.stop()
         fleet.publish(["/q/", "/new/"])
         context.elapsed_s = await fleet.wait_for(
-            lambda: _all_serve_path(by_reads[2:], "/new/x"), 5
+            lambda: all_serve_path(by_reads[2:], "/new/x"), 5
         )
 
     platform_fleet.run(context.host_count, scenario)
@@ -145,7 +145,7 @@
 @when("a target {withdrawal} under load")
 def withdraw_target(context, withdrawal):
     async def scenario(fleet):
-        load = _Load(fleet.hosts)
+        load = Load(fleet.hosts)
         cutting = None
         if "cut" in withdrawal:
             cutting = asyncio.get_running_loop().create_task(
@@ -217,7 +217,7 @@
     async def scenario(fleet):
         for target in fleet.targets:
             target.behaviour = "slow"
-        load = _Load(fleet.hosts[:1])
+        load = Load(fleet.hosts[:1])
         await asyncio.sleep(1)
         host = fleet.hosts[0]
         host.send_signal(signal.SIGTERM)
@@ -246,7 +246,7 @@
 @when("the store is down for {pause_s:d} s and all entries expire meanwhile")
 def stop_store(context, pause_s):
     async def scenario(fleet):
-        load = _Load(fleet.hosts)
+        load = Load(fleet.hosts)
         await asyncio.sleep(1)
         fleet.store.is_down = True
         for target in fleet.targets:
@@ -286,7 +286,7 @@
         for host in fleet.hosts:
             host.start()
         context.elapsed_s = await fleet.wait_for(
-            lambda: _all_serve_path(fleet.hosts, "/new/x"), 10
+            lambda: all_serve_path(fleet.hosts, "/new/x"), 10
         )
 
     platform_fleet.run(context.host_count, scenario)
--- a/trefoilstand/platform/decoder.py
+++ b/trefoilstand/platform/decoder.py
@@ -1,6 +1,8 @@
 """Decode the configuration and target entries of the platform's store."""
 
+import ipaddress
 import json
+import re
 import typing
 
 from trefoilstand.gateway import models
@@ -12,6 +14,15 @@
 
 _CONFIGURATION_KEY: typing.Final = "op/config"
 _TARGET_PREFIX: typing.Final = "servers/"
+#: Requests carry the id of their target in a header field, so anything else
+#: could change the meaning of a request.
+_TARGET_ID_PATTERN: typing.Final = re.compile(r"[\x21-\x7e]{1,200}")
+#: Larger numbers are not plausible: a target with so many slots, or with so
+#: long a warm-up, would upset the choice of targets for all requests.
+_SLOTS_LIMIT: typing.Final = 1_000_000
+_WARMUP_LIMIT_S: typing.Final = 86_400.0
+#: Start times from this on, in milliseconds, do not fit messages of hosts.
+_INCARNATION_LIMIT: typing.Final = 2**63
 #: Route types whose requests may run more than once; downloads are safe
 #: requests with large responses.
 _IDEMPOTENT_ROUTE_TYPES: typing.Final = frozenset({"safe", "download"})
@@ -32,7 +43,15 @@
         """Return the target ID in a key, None if it describes no target."""
         if not key.startswith(_TARGET_PREFIX):
             return None
-        return key[len(_TARGET_PREFIX) :]
+        target_id = key[len(_TARGET_PREFIX) :]
+        if _TARGET_ID_PATTERN.fullmatch(target_id) is None:
+            events.warning(
+                events.EntryDropped(
+                    key=ascii(key)[:200], cause="the key holds no target ID"
+                )
+            )
+            return None
+        return target_id
 
     def decode_configuration(
         self, value: bytes
@@ -78,27 +97,18 @@
             raw = json.loads(value)
             info = raw["info"]
             status = raw["status"]
-            address = addresses.parse_address(raw["address"])
-            service, failure_domain = info["service"], info["zone"]
-            if not (
-                isinstance(service, str) and isinstance(failure_domain, str)
-            ):
-                raise TypeError("service and zone must be strings")
-            if not service:
-                raise ValueError("service must not be empty")
-            if type(info["slots"]) is not int or info["slots"] < 1:
-                raise TypeError("slots must be a positive integer")
+            address = _decode_address(raw["address"])
             return models.TargetRecord(
                 target_id=target_id,
                 # Start time of the target in milliseconds since the epoch.
                 incarnation=_decode_incarnation(raw),
-                service=service,
+                service=_decode_service(info["service"]),
                 ip=address.ip,
                 port=address.port,
-                failure_domain=failure_domain,
-                slots=info["slots"],
+                failure_domain=_decode_text(info["zone"]),
+                slots=_decode_slots(info["slots"]),
                 state=_TARGET_STATES[status["state"]],
-                warmup_left_s=values.parse_seconds(status["warmup-left"]),
+                warmup_left_s=_decode_warmup_s(status["warmup-left"]),
             )
         except values.MALFORMED_ERRORS as error:
             events.warning(
@@ -110,10 +120,48 @@
             return None
 
 
+def _decode_address(raw: typing.Any) -> addresses.SocketAddress:
+    address = addresses.parse_address(raw)
+    ip = ipaddress.IPv4Address(address.ip)
+    # Reserved addresses include that of the broadcast.
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise ValueError(f"{address.ip} is not the address of one machine")
+    return address
+
+
+def _decode_service(raw: typing.Any) -> str:
+    if not raw:
+        raise ValueError("service must not be empty")
+    return _decode_text(raw)
+
+
+def _decode_text(raw: typing.Any) -> str:
+    if not isinstance(raw, str):
+        raise TypeError("service and zone must be strings")
+    # Half of a surrogate pair could not be encoded again.
+    raw.encode()
+    return raw
+
+
+def _decode_slots(raw: typing.Any) -> int:
+    if type(raw) is not int or not 1 <= raw < _SLOTS_LIMIT:
+        raise ValueError(
+            f"slots must be an integer from 1 to {_SLOTS_LIMIT - 1}"
+        )
+    return raw
+
+
+def _decode_warmup_s(raw: typing.Any) -> float:
+    warmup_s = values.parse_seconds(raw)
+    if warmup_s > _WARMUP_LIMIT_S:
+        raise ValueError(f"warmup-left must not exceed {_WARMUP_LIMIT_S} s")
+    return warmup_s
+
+
 def _decode_incarnation(raw: dict[str, typing.Any]) -> int:
     born = raw.get("born", 0)
-    if not isinstance(born, int) or isinstance(born, bool):
-        raise TypeError("born must be an integer")
+    if type(born) is not int or not 0 <= born < _INCARNATION_LIMIT:
+        raise ValueError("born must be a time in milliseconds")
     return born
 
 
--- a/trefoilstand/platform/store.py
+++ b/trefoilstand/platform/store.py
@@ -15,6 +15,7 @@
 from trefoilstand.http import outbound_connection
 from trefoilstand.http import wire
 from trefoilstand.platform import values
+from trefoilstand.telemetry import events
 
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
@@ -194,29 +195,44 @@
         raise TypeError(
             f"{field} must be a list and store-revision an integer"
         )
+    items = (_decode_item(raw) for raw in content[field])
     return _Page(
-        items=tuple(_decode_item(raw) for raw in content[field]),
+        items=tuple(item for item in items if item is not None),
         revision=revision,
         is_truncated=content.get("truncated") is True,
     )
 
 
-def _decode_item(raw: dict[str, typing.Any]) -> models.Item:
-    """Decode an item of a snapshot page or an event of a watch."""
-    key, revision = raw["key"], raw["revision"]
-    if not isinstance(key, str) or type(revision) is not int:
-        raise TypeError("key must be a string and revision an integer")
-    value: bytes | None = None
-    if not raw.get("removed"):
-        value = _decode_value(raw["value"])
+def _decode_item(raw: dict[str, typing.Any]) -> models.Item | None:
+    """Decode an item of a snapshot page or an event of a watch.
+
+    One malformed item must not make the others unreadable.
+
+    :param raw: decoded JSON value.
+    :returns: the item, None if its key or revision is malformed.
+    """
+    try:
+        key, revision = raw["key"], raw["revision"]
+        if not isinstance(key, str) or type(revision) is not int:
+            raise TypeError("key must be a string and revision an integer")
+        # Half of a surrogate pair could not be sent to other hosts.
+        key.encode()
+        value: bytes | None = None
+        if not raw.get("removed"):
+            value = _decode_value(raw["value"])
+    except values.MALFORMED_ERRORS as error:
+        events.warning(
+            events.EntryDropped(
+                key=ascii(raw)[:200],
+                cause=f"{type(error).__name__}: {error}"[:200],
+            )
+        )
+        return None
     return models.Item(key=key, revision=revision, value=value)
 
 
 def _decode_value(text: str) -> bytes:
-    """Decode a value, as empty bytes if it is not valid base64.
-
-    One malformed value must not make the other keys of a page unreadable.
-    """
+    """Decode a value, as empty bytes if it is not valid base64."""
     try:
         return base64.b64decode(text, validate=True)
     except (TypeError, ValueError):
