--- a/features/steps/reading_steps.py
+++ b/features/steps/reading_steps.py
@@ -5,6 +5,7 @@
 from behave import then
 from behave import when
 
+from features.support import reading_host
 from trefoilstand.experiments import virtual_time
 from trefoilstand.fleet import coordinator
 from trefoilstand.fleet import models
@@ -12,9 +13,7 @@
 from trefoilstand.fleet import replica
 from trefoilstand.fleet import staleness_tracker
 from trefoilstand.fleet import store
-from trefoilstand.fleet import topology
 from trefoilstand.peers import membership
-from trefoilstand.peers import models as peers_models
 
 
 class CountingStore(store.Store):
@@ -39,42 +38,10 @@
         return
 
 
-class SilentPeers:
-    """Peers that accept every message and never respond."""
-
-    def __init__(self, *, members, requested_addresses):
-        self._members = members
-        self._requested_addresses = requested_addresses
-
-    @property
-    def view(self):
-        return topology.make_topology(
-            self._members.own, self._members.live_members()
-        )
-
-    def announce(self, origin):
-        return
-
-    def announce_confirmation(self, origin):
-        return
-
-    def request_heartbeat(self, address):
-        self._requested_addresses.append(address)
-
-
-def make_member(number):
-    return peers_models.Member(
-        peer_address=f"10.0.0.{number}:1",
-        caller_address=f"10.0.0.{number}:2",
-        failure_domain="a",
-        process_id=f"p{number}",
-        incarnation=1,
-    )
-
-
 def _members_by_rank():
     return sorted(
-        (make_member(number) for number in (1, 2, 3)), key=readers.rank
+        (reading_host.make_member(number) for number in (1, 2, 3)),
+        key=readers.rank,
     )
 
 
@@ -83,7 +50,6 @@
     context.reads_immediately = "no seed" not in start
     context.others = []
     context.own = _members_by_rank()[2]
-    context.requested_addresses = []
 
 
 @given("another host that ranks before it and does not respond")
@@ -106,6 +72,7 @@
         )
         for member in context.others:
             members.apply(member, clock.now_s())
+        context.peers = reading_host.SilentPeers(members=members)
         state_coordinator = coordinator.StateCoordinator(
             store=context.store,
             state=replica.Replica(),
@@ -113,10 +80,7 @@
                 random_source=random_source
             ),
             members=members,
-            peers=SilentPeers(
-                members=members,
-                requested_addresses=context.requested_addresses,
-            ),
+            peers=context.peers,
             random_source=random_source,
             clock=clock,
             reads_immediately=context.reads_immediately,
@@ -138,9 +102,9 @@
 
 @then("it has requested heartbeats only from others")
 def check_requested_addresses(context):
-    assert context.requested_addresses, (
+    assert context.peers.requested_addresses, (
         "the host requested no heartbeat from any peer"
     )
-    assert context.own.peer_address not in context.requested_addresses, (
-        context.requested_addresses
+    assert context.own.peer_address not in context.peers.requested_addresses, (
+        context.peers.requested_addresses
     )
--- a/features/steps/supervision_steps.py
+++ b/features/steps/supervision_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from features.steps import reading_steps
+from features.support import reading_host
 from trefoilstand.experiments import virtual_time
 from trefoilstand.fleet import coordinator
 from trefoilstand.fleet import exchange
@@ -78,7 +79,7 @@
 
 def _members(clock):
     return membership.MemberTable(
-        own=reading_steps.make_member(1),
+        own=reading_host.make_member(1),
         random_source=random.Random(1),
         clock=clock,
     )
@@ -104,9 +105,7 @@
                 random_source=random.Random(1)
             ),
             members=members,
-            peers=reading_steps.SilentPeers(
-                members=members, requested_addresses=[]
-            ),
+            peers=reading_host.SilentPeers(members=members),
             random_source=random.Random(1),
             clock=clock,
             reads_immediately=True,
--- a/features/support/reading_host.py
+++ b/features/support/reading_host.py
@@ -100,11 +100,15 @@
         return
 
 
-class _SilentPeers:
-    """Peers that never respond."""
+class SilentPeers:
+    """Peers that accept every message and never respond.
+
+    :param members: known hosts.
+    """
 
     def __init__(self, *, members):
         self._members = members
+        self.requested_addresses = []
 
     @property
     def view(self):
@@ -119,7 +123,7 @@
         return
 
     def request_heartbeat(self, address):
-        return
+        self.requested_addresses.append(address)
 
 
 class ReadingHost:
@@ -139,7 +143,7 @@
         self._readers_lost_s = readers_lost_s
         self._tasks = []
         *others, own = sorted(
-            (_make_member(number) for number in (1, 2, 3)), key=readers.rank
+            (make_member(number) for number in (1, 2, 3)), key=readers.rank
         )
         members = membership.MemberTable(
             own=own, random_source=random_source, clock=clock
@@ -169,7 +173,7 @@
             state=self.replica,
             staleness=self.staleness,
             members=members,
-            peers=_SilentPeers(members=members),
+            peers=SilentPeers(members=members),
             random_source=random_source,
             clock=clock,
             reads_immediately=True,
@@ -202,7 +206,7 @@
         return self.state.targets.get(target_id) is not None
 
 
-def _make_member(number):
+def make_member(number):
     return peers_models.Member(
         peer_address=f"10.0.0.{number}:1",
         caller_address=f"10.0.0.{number}:2",
