Accept settings with an empty heartbeat

Test: platform/decoding, 'Settings name the heartbeat interval of the targets'; null and an empty text failed before.

--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -41,3 +41,15 @@
       | nan      | 4     |
       | inf      | 4     |
       | -1       | 4     |
+
+  # Keys of the settings may be empty; a process must start all the same.
+  Scenario Outline: Settings name the heartbeat interval of the targets
+    Given settings of the platform whose heartbeat is <heartbeat>
+    Then entries are expected to be renewed every <seconds> s
+
+    Examples:
+      | heartbeat | seconds |
+      | "500ms"   | 0.5     |
+      | "2s"      | 2.0     |
+      | null      | 1.5     |
+      | ""        | 1.5     |
--- a/features/steps/decoding_steps.py
+++ b/features/steps/decoding_steps.py
@@ -13,6 +13,7 @@
 from trefoilstand.http import models
 from trefoilstand.peers import peer_pb2
 from trefoilstand.platform import decoder
+from trefoilstand.platform import settings as platform_settings
 from trefoilstand.platform import target_protocol
 from trefoilstand.telemetry import metric_store
 
@@ -99,3 +100,27 @@
         assert observation is None, observation
     else:
         assert observation.requests_per_s == float(limit), observation
+
+
+@given("settings of the platform whose heartbeat is {heartbeat}")
+def settings_with_heartbeat(context, heartbeat):
+    endpoint = "10.0.0.1:8640"
+    context.settings = platform_settings.parse_settings(
+        json.dumps(
+            {
+                "node": "front-1",
+                "zone": "a",
+                "ip": "10.0.0.1",
+                "listen": {"front": endpoint, "ready": endpoint},
+                "internal-ports": [7620, 7635],
+                "bounds": [],
+                "platform": {"address": "10.0.0.9:8642"},
+                "heartbeat": json.loads(heartbeat),
+            }
+        )
+    )
+
+
+@then("entries are expected to be renewed every {seconds:g} s")
+def check_heartbeat(context, seconds):
+    assert context.settings.entry_heartbeat_s == seconds
--- a/trefoilstand/platform/settings.py
+++ b/trefoilstand/platform/settings.py
@@ -70,7 +70,7 @@
         is_first_start=bool(raw.get("bootstrap")),
         drain_s=values.parse_seconds(bounds.get("drain", "2s")),
         entry_heartbeat_s=values.parse_seconds(
-            raw.get("heartbeat", _DEFAULT_HEARTBEAT)
+            raw.get("heartbeat") or _DEFAULT_HEARTBEAT
         ),
         grace_s=values.parse_seconds(bounds.get("grace", "6s")),
         answer_lifetime_s=ttl_max_s * _ANSWER_LIFETIME_SHARE,
