Share one input scheduler among the connections of a pool by default

Traced: the pool of the harness was given no scheduler, so each of its connections had one of its own and 8 to 9 slices were parsed in each iteration of the loop (57 iterations of 40 ms, others 0.19 to 0.22 s, load average 10). Gateways passed one before and are not changed.

--- a/trefoilstand/gateway/pool.py
+++ b/trefoilstand/gateway/pool.py
@@ -72,8 +72,8 @@
     :param local_ip: local address that connections are bound to, None for
         any.
     :param buffers: memory for the bodies of responses, None for no limit.
-    :param scheduler: shares the event loop among the connections, None to
-        share it with none.
+    :param scheduler: shares the event loop with other connections, None to
+        share it only among those of this pool.
     :param quota: limits the connections to each target, None for no limit.
     """
 
@@ -89,7 +89,7 @@
         self._clock = clock
         self._local_ip = local_ip
         self._buffers = buffers
-        self._input_scheduler = scheduler
+        self._input_scheduler = scheduler or input_scheduler.InputScheduler()
         self._quota = quota
         self._idle: dict[
             str, list[outbound_connection.OutboundConnection]
