--- a/features/steps/callers_edge_steps.py
+++ b/features/steps/callers_edge_steps.py
@@ -9,6 +9,7 @@
 
 from features.support import scripted_http
 from trefoilstand.http import buffer_budget
+from trefoilstand.http import handling
 from trefoilstand.http import server
 
 _HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\n"
@@ -41,7 +42,7 @@
 }
 
 
-class _EchoHandler(server.RequestHandler):
+class _EchoHandler(handling.RequestHandler):
     def __init__(self):
         self.handled = 0
         self.delay_s = 0.0
@@ -54,14 +55,14 @@
             raise ZeroDivisionError(
                 "handler failure requested by the scenario"
             )
-        return server.CallerResponse(status=200, body=request.body)
+        return handling.CallerResponse(status=200, body=request.body)
 
 
 def _run(context, exchange):
     async def run_server():
         context.handler = _EchoHandler()
         listener = server.Server(handler=context.handler)
-        listener.limits = server.Limits(
+        listener.limits = handling.Limits(
             header_bytes=2000, body_bytes=4000, header_timeout_s=0.3
         )
         await listener.start(ip="127.0.0.1", port=0, backlog=16)
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -17,9 +17,9 @@
 from trefoilstand.fleet import store as stores
 from trefoilstand.gateway import models
 from trefoilstand.http import errors
+from trefoilstand.http import handling
 from trefoilstand.http import models as http_models
 from trefoilstand.http import outbound_connection
-from trefoilstand.http import server
 from trefoilstand.platform import decoder
 from trefoilstand.platform import store
 from trefoilstand.platform import target_protocol
@@ -376,7 +376,7 @@
             route=scripted_http.make_route(is_idempotent=False),
         )
         await harness.start()
-        harness.server.limits = server.Limits(header_bytes=16384)
+        harness.server.limits = handling.Limits(header_bytes=16384)
         data = scripted_http.request_bytes().replace(
             b"Deadline-Ms: 500", b"Deadline-Ms: " + b"9" * 5000
         )
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -13,14 +13,14 @@
 from trefoilstand.gateway import calls
 from trefoilstand.gateway import metrics_page
 from trefoilstand.gateway import models as gateway_models
+from trefoilstand.http import caller_connection
 from trefoilstand.http import models
 from trefoilstand.http import outbound_connection
-from trefoilstand.http import server
 
 _EXCHANGE_TYPES = (
     calls.Call,
     outbound_connection.OutboundConnection,
-    server.CallerConnection,
+    caller_connection.CallerConnection,
 )
 
 
--- a/features/steps/input_scheduler_steps.py
+++ b/features/steps/input_scheduler_steps.py
@@ -8,6 +8,7 @@
 import uvloop
 
 from features.support import scripted_http
+from trefoilstand.http import handling
 from trefoilstand.http import input_scheduler
 from trefoilstand.http import outbound_connection
 from trefoilstand.http import server
@@ -213,9 +214,9 @@
     asyncio.run(receive())
 
 
-class _EmptyHandler(server.RequestHandler):
+class _EmptyHandler(handling.RequestHandler):
     async def handle(self, request):
-        return server.CallerResponse(status=200)
+        return handling.CallerResponse(status=200)
 
 
 @given(
--- a/features/support/scripted_http.py
+++ b/features/support/scripted_http.py
@@ -18,6 +18,7 @@
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import routing
 from trefoilstand.gateway import state
+from trefoilstand.http import handling
 from trefoilstand.http import server
 from trefoilstand.platform import decoder
 from trefoilstand.platform import target_protocol
@@ -350,7 +351,10 @@
             own_domain=OWN_DOMAIN,
         )
         self.state.configuration = models.GatewayConfiguration(
-            version=1, routes={"r": route}, services={}, limits=server.Limits()
+            version=1,
+            routes={"r": route},
+            services={},
+            limits=handling.Limits(),
         )
         self.state.routes = routing.RouteTable(routes={"r": route})
         self.server = server.Server(handler=self.forwarder, buffers=buffers)
--- a/trefoilstand/experiments/gateway_load.py
+++ b/trefoilstand/experiments/gateway_load.py
@@ -19,8 +19,8 @@
 from trefoilstand.gateway import routing
 from trefoilstand.gateway import state
 from trefoilstand.gateway import targets
+from trefoilstand.http import handling
 from trefoilstand.http import models as http_models
-from trefoilstand.http import server
 from trefoilstand.platform import decoder
 from trefoilstand.telemetry import metric_store
 from trefoilstand.util import token_bucket
@@ -230,7 +230,7 @@
 
     async def _send_request(
         self, caller_deadline_s: float
-    ) -> server.CallerResponse | None:
+    ) -> handling.CallerResponse | None:
         loop = asyncio.get_running_loop()
         remaining_ms = int((caller_deadline_s - loop.time()) * _MS_PER_S)
         request = http_models.Request(
@@ -248,7 +248,7 @@
             return None
 
     def _classify_result(
-        self, response: server.CallerResponse | None, elapsed_s: float
+        self, response: handling.CallerResponse | None, elapsed_s: float
     ) -> str:
         if response is None or response.status >= 504:
             return "lost"
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -29,6 +29,7 @@
 from trefoilstand.helpers import lifecycle
 from trefoilstand.helpers import supervision
 from trefoilstand.http import buffer_budget
+from trefoilstand.http import handling
 from trefoilstand.http import input_scheduler
 from trefoilstand.http import server
 from trefoilstand.telemetry import events
@@ -196,7 +197,7 @@
     def add_page(
         self,
         endpoint: gateway_settings.Endpoint,
-        handler: server.RequestHandler,
+        handler: handling.RequestHandler,
     ) -> None:
         """Serve an adapter's page on a separate address.
 
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -16,8 +16,8 @@
 from trefoilstand.gateway import sending
 from trefoilstand.gateway import state
 from trefoilstand.gateway import target_protocol
+from trefoilstand.http import handling
 from trefoilstand.http import models as http_models
-from trefoilstand.http import server
 from trefoilstand.telemetry import events
 from trefoilstand.telemetry import metric_store
 from trefoilstand.util import clock as clocks
@@ -28,7 +28,7 @@
 _MAX_TIMEOUT_DIGITS = 12
 
 
-class Forwarder(server.RequestHandler):
+class Forwarder(handling.RequestHandler):
     """Forward callers' requests, with retries and hedges.
 
     :param gateway_state: configuration and targets in force.
@@ -94,7 +94,7 @@
 
     async def handle(
         self, request: http_models.Request
-    ) -> server.CallerResponse:
+    ) -> handling.CallerResponse:
         """Forward a request and return the response for the caller.
 
         :param request: request of a caller.
@@ -108,7 +108,7 @@
 
     async def _route_request(
         self, request: http_models.Request
-    ) -> server.CallerResponse:
+    ) -> handling.CallerResponse:
         if self._state.routes is None:
             await self._wait_for_state()
         if self._state.routes is None:
@@ -161,7 +161,7 @@
 
     async def _run_until_deadline(
         self, call: calls.Call
-    ) -> server.CallerResponse:
+    ) -> handling.CallerResponse:
         """Attempt a request until it succeeds or its deadline passes."""
         self._budget_for(call.service).record_request(self._clock.now_s())
         attempt_tasks: list[asyncio.Task[calls.AttemptResult]] = []
@@ -183,7 +183,7 @@
         self,
         call: calls.Call,
         attempt_tasks: list[asyncio.Task[calls.AttemptResult]],
-    ) -> server.CallerResponse:
+    ) -> handling.CallerResponse:
         attempt_tasks.append(self._start_attempt(call))
         may_hedge = call.route.is_idempotent
         while attempt_tasks:
@@ -300,7 +300,7 @@
             result = await self._sender.send(call, placement)
         return result
 
-    def _failure_response(self, call: calls.Call) -> server.CallerResponse:
+    def _failure_response(self, call: calls.Call) -> handling.CallerResponse:
         queue = self._scheduler.queue_for(call.service)
         return responses.failure_response(
             call,
@@ -310,9 +310,9 @@
 
     def _reject(
         self, request: http_models.Request, refusal: models.Refusal
-    ) -> server.CallerResponse:
+    ) -> handling.CallerResponse:
         response = (
-            server.CallerResponse(status=404)
+            handling.CallerResponse(status=404)
             if refusal is models.Refusal.NO_ROUTE
             else responses.rejection_response(
                 refusal, wait_s=0.0, random_source=self._random
@@ -352,7 +352,7 @@
         return loop.time() + (monotonic_s - self._clock.now_s())
 
     def _record_request(
-        self, call: calls.Call, response: server.CallerResponse
+        self, call: calls.Call, response: handling.CallerResponse
     ) -> None:
         now_s = self._clock.now_s()
         latency_ms = (now_s - call.request.arrived_s) * _MS_PER_S
--- a/trefoilstand/gateway/metrics_page.py
+++ b/trefoilstand/gateway/metrics_page.py
@@ -4,8 +4,8 @@
 import itertools
 import typing
 
+from trefoilstand.http import handling
 from trefoilstand.http import models
-from trefoilstand.http import server
 from trefoilstand.telemetry import metric_store
 
 REQUESTS: typing.Final = "trefoilstand_requests_total"
@@ -26,7 +26,7 @@
 Gauges: typing.TypeAlias = collections.abc.Callable[[], dict[str, float]]
 
 
-class MetricsPage(server.RequestHandler):
+class MetricsPage(handling.RequestHandler):
     """Serve counters, latency histograms and gauges.
 
     :param counts: counters and latencies of the process.
@@ -39,15 +39,15 @@
         self._counts = counts
         self._gauges = gauges
 
-    async def handle(self, request: models.Request) -> server.CallerResponse:
+    async def handle(self, request: models.Request) -> handling.CallerResponse:
         """Return all metrics in the text format of Prometheus.
 
         :param request: request of a metrics collector.
         """
         if request.path != _PATH:
-            return server.CallerResponse(status=404)
+            return handling.CallerResponse(status=404)
         content, content_type = self._render()
-        return server.CallerResponse(
+        return handling.CallerResponse(
             status=200,
             fields=[(b"content-type", content_type.encode())],
             body=content,
--- a/trefoilstand/gateway/models.py
+++ b/trefoilstand/gateway/models.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from trefoilstand.http import server
+from trefoilstand.http import handling
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,7 +72,7 @@
     version: int
     routes: dict[str, Route]
     services: dict[str, ServicePolicy]
-    limits: server.Limits
+    limits: handling.Limits
 
 
 class TargetState(enum.StrEnum):
--- a/trefoilstand/gateway/responses.py
+++ b/trefoilstand/gateway/responses.py
@@ -6,8 +6,8 @@
 from trefoilstand.gateway import const
 from trefoilstand.gateway import models
 from trefoilstand.gateway import target_protocol
+from trefoilstand.http import handling
 from trefoilstand.http import models as http_models
-from trefoilstand.http import server
 from trefoilstand.http import wire
 
 _UNKNOWN_STATUS = 502
@@ -15,12 +15,14 @@
 _NOT_EXECUTED_STATUS = 503
 
 
-def forward_response(response: http_models.Response) -> server.CallerResponse:
+def forward_response(
+    response: http_models.Response,
+) -> handling.CallerResponse:
     """Return a target's response in the form that the caller gets.
 
     :param response: response of the target.
     """
-    return server.CallerResponse(
+    return handling.CallerResponse(
         status=response.status,
         fields=wire.forwardable_fields(
             response.fields, replaced_names=target_protocol.STRIPPED_FIELDS
@@ -34,7 +36,7 @@
     *,
     wait_s: float,
     random_source: random.Random,
-) -> server.CallerResponse:
+) -> handling.CallerResponse:
     """Return the response to a request that no attempt succeeded for.
 
     An error response of a target is forwarded; otherwise the status tells
@@ -48,7 +50,7 @@
         return forward_response(call.fallback)
     if call.may_have_run:
         is_timed_out = call.last_outcome == models.Outcome.TIMED_OUT
-        return server.CallerResponse(
+        return handling.CallerResponse(
             status=_TIMEOUT_STATUS if is_timed_out else _UNKNOWN_STATUS
         )
     return rejection_response(
@@ -58,7 +60,7 @@
 
 def rejection_response(
     refusal: models.Refusal, *, wait_s: float, random_source: random.Random
-) -> server.CallerResponse:
+) -> handling.CallerResponse:
     """Return a response that guarantees that the request did not run.
 
     :param refusal: why the request was not sent to a target.
@@ -77,7 +79,7 @@
     else:
         retry_after_s = const.RETRY_AFTER_NO_TARGET_S
     retry_after_s *= 0.75 + 0.5 * random_source.random()
-    return server.CallerResponse(
+    return handling.CallerResponse(
         status=_NOT_EXECUTED_STATUS,
         fields=[(b"retry-after", b"%.3f" % retry_after_s)],
     )
--- /dev/null
+++ b/trefoilstand/http/handling.py
@@ -0,0 +1,48 @@
+"""Interface between the server of callers and what handles their requests."""
+
+import abc
+import dataclasses
+
+from trefoilstand.http import models
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Limits:
+    """Hold the limits on sizes and times of callers' requests.
+
+    :param header_bytes: largest header section in bytes.
+    :param body_bytes: largest body in bytes.
+    :param header_timeout_s: time limit in seconds for receiving a header
+        section.
+    :param idle_timeout_s: longest time in seconds between two requests.
+    """
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallerResponse:
+    """Hold the response to a caller's request.
+
+    :param status: HTTP status code.
+    :param fields: header fields.
+    :param body: complete body.
+    """
+
+    status: int
+    fields: models.HeaderFields = dataclasses.field(default_factory=list)
+    body: bytes = b""
+
+
+class RequestHandler(abc.ABC):
+    """Produce the responses to requests."""
+
+    @abc.abstractmethod
+    async def handle(self, request: models.Request) -> CallerResponse:
+        """Return the response to a request.
+
+        The call is cancelled when the caller disconnects.
+        """
--- a/trefoilstand/platform/decoder.py
+++ b/trefoilstand/platform/decoder.py
@@ -7,7 +7,7 @@
 
 from trefoilstand.gateway import models
 from trefoilstand.gateway import state
-from trefoilstand.http import server
+from trefoilstand.http import handling
 from trefoilstand.platform import values
 from trefoilstand.telemetry import events
 from trefoilstand.util import address as addresses
@@ -198,11 +198,11 @@
     return None if value is None else int(value)
 
 
-def _decode_limits(raw: dict[str, typing.Any]) -> server.Limits:
-    default_limits = server.Limits()
+def _decode_limits(raw: dict[str, typing.Any]) -> handling.Limits:
+    default_limits = handling.Limits()
     header_timeout = raw.get("header-timeout")
     idle_timeout = raw.get("idle-timeout")
-    return server.Limits(
+    return handling.Limits(
         header_bytes=int(
             raw.get("max-header-bytes", default_limits.header_bytes)
         ),
--- a/trefoilstand/standins/store_service.py
+++ b/trefoilstand/standins/store_service.py
@@ -10,15 +10,15 @@
 import typing
 import urllib.parse
 
+from trefoilstand.http import handling
 from trefoilstand.http import models
-from trefoilstand.http import server
 
 _JSON: typing.Final = (b"content-type", b"application/json")
 _ITEMS_PER_PAGE: typing.Final = 50
 _MS_PER_S: typing.Final = 1000
 
 
-class StoreService(server.RequestHandler):
+class StoreService(handling.RequestHandler):
     """Hold keys with revisions and serve reads and watches."""
 
     def __init__(self) -> None:
@@ -59,14 +59,14 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def handle(self, request: models.Request) -> server.CallerResponse:
+    async def handle(self, request: models.Request) -> handling.CallerResponse:
         """Serve a range read or a watch.
 
         :param request: request of a reader.
         """
         self.calls += 1
         if self.is_down:
-            return server.CallerResponse(status=503)
+            return handling.CallerResponse(status=503)
         query = dict(
             urllib.parse.parse_qsl(
                 request.target.partition(b"?")[2].decode(),
@@ -77,9 +77,9 @@
             return self._serve_range(query)
         if request.path == b"/api/kv-watch":
             return await self._serve_watch(query)
-        return server.CallerResponse(status=404)
+        return handling.CallerResponse(status=404)
 
-    def _serve_range(self, query: dict[str, str]) -> server.CallerResponse:
+    def _serve_range(self, query: dict[str, str]) -> handling.CallerResponse:
         keys = sorted(
             key
             for key in self._items
@@ -93,10 +93,10 @@
 
     async def _serve_watch(
         self, query: dict[str, str]
-    ) -> server.CallerResponse:
+    ) -> handling.CallerResponse:
         after_revision = int(query["after"])
         if after_revision < self._compacted_revision:
-            return server.CallerResponse(status=410)
+            return handling.CallerResponse(status=410)
         if not self._events_after(query["prefix"], after_revision):
             try:
                 async with asyncio.timeout(int(query["wait-ms"]) / _MS_PER_S):
@@ -104,9 +104,9 @@
             except TimeoutError:
                 pass
         if self.is_down:
-            return server.CallerResponse(status=503)
+            return handling.CallerResponse(status=503)
         if after_revision < self._compacted_revision:
-            return server.CallerResponse(status=410)
+            return handling.CallerResponse(status=410)
         return self._respond(
             events=self._events_after(query["prefix"], after_revision)
         )
@@ -120,9 +120,9 @@
             if revision > after_revision and key.startswith(prefix)
         ]
 
-    def _respond(self, **content: typing.Any) -> server.CallerResponse:
+    def _respond(self, **content: typing.Any) -> handling.CallerResponse:
         content["store-revision"] = self.revision
-        return server.CallerResponse(
+        return handling.CallerResponse(
             status=200, fields=[_JSON], body=json.dumps(content).encode()
         )
 
