--- a/features/support/limited_fleet.py
+++ b/features/support/limited_fleet.py
@@ -189,6 +189,17 @@
         )
         counts = metric_store.MetricStore()
         protocol = gateway_model.SimulatedTargetProtocol()
+        limits = assembly.build_limit_handling(
+            table=peer.limits,
+            ranking=self._ranking,
+            protocol=protocol,
+            counts=counts,
+            on_new_limit=lambda: peer.peers.announce_limits(
+                topology.Origin.STORE
+            ),
+        )
+        self._quota = limits.quota
+        self.cool_down(fleet)
         self.forwarder = assembly.build_forwarder(
             gateway_state=self.state,
             connections=connections,
@@ -200,21 +211,19 @@
             ),
             predictor=prediction.Predictor(),
             protocol=protocol,
-            limits=assembly.build_limit_handling(
-                table=peer.limits,
-                ranking=self._ranking,
-                protocol=protocol,
-                counts=counts,
-                on_new_limit=lambda: peer.peers.announce_limits(
-                    topology.Origin.STORE
-                ),
-            ),
+            limits=limits,
             counts=counts,
             clock=fleet.net.clock,
             random_source=random_source,
             own_domain=peer.domain,
         )
 
+    def cool_down(self, fleet):
+        """Treat the cold targets of the fleet as its entries say."""
+        self._quota.set_warmup_rates({_SERVICE: fleet.warmup_rate_per_s})
+        for target_id in fleet.cold_ids:
+            self.state.targets.get(target_id).warming_until_s = LIMIT_END_S
+
     def tick(self, now_s):
         self.state.hosts.update(self.peer.members.live_count, now_s)
         self._ranking.update(now_s)
@@ -232,6 +241,8 @@
     def __init__(self, *, loop, hosts, rate_per_s, seed=1, loss=0.0):
         self.loop = loop
         self.seed = seed
+        self.cold_ids = ()
+        self.warmup_rate_per_s = 0.0
         self._rate_per_s = rate_per_s
         self._random_source = random.Random(seed)
         self.net = heartbeat_fleet.FleetNetwork(
@@ -317,6 +328,13 @@
             )
         )
 
+    async def cool_down(self, target_ids, rate_per_s):
+        """Make targets cold until the end of the limits."""
+        self.cold_ids = target_ids
+        self.warmup_rate_per_s = rate_per_s
+        for host in self.entry_hosts:
+            host.cool_down(self)
+
     async def restart(self, number, down_s=0.3):
         """End the process of a host and start it again.
 
--- a/trefoilstand/experiments/gateway_model.py
+++ b/trefoilstand/experiments/gateway_model.py
@@ -205,6 +205,10 @@
         value = response.find_field(b"limit")
         return None if value is None else float(value)
 
+    def read_warmup_s(self, response: http_models.Response) -> float | None:
+        """Return how long a target stays cold, None if it does not say."""
+        return None
+
     def read_target_id(self, response: http_models.Response) -> str | None:
         """Return the target ID in the response to a health check."""
         return None
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -134,6 +134,7 @@
             counts=self.counts,
             on_new_limit=self.fleet.announce_limit,
         )
+        self._target_quota = limits.quota
         self.prober = probing.Prober(
             connections=self.connections,
             protocol=protocol,
@@ -181,6 +182,12 @@
             "trefoilstand_state_revision": self.fleet.replica.revision,
             "trefoilstand_state_age_seconds": min(age_s, _MAX_REPORTED_AGE_S),
             "trefoilstand_targets": len(self.state.targets),
+            "trefoilstand_evacuated_domains": len(
+                self.state.evacuated_domains
+            ),
+            "trefoilstand_warming_targets": self.state.targets.warming_count(
+                time.monotonic()
+            ),
             "trefoilstand_entry_hosts": self.state.hosts.count,
             "trefoilstand_requests_in_progress": self.forwarder.in_progress,
             "trefoilstand_probes": self.prober.sent,
@@ -317,6 +324,13 @@
             name: policy.health_path
             for name, policy in configuration.services.items()
         }
+        self._target_quota.set_warmup_rates(
+            {
+                name: policy.warmup_requests_per_s
+                for name, policy in configuration.services.items()
+                if policy.warmup_requests_per_s is not None
+            }
+        )
         self._connection_quota.set_limits(
             {
                 name: policy.max_connections
--- a/trefoilstand/gateway/candidates.py
+++ b/trefoilstand/gateway/candidates.py
@@ -107,6 +107,10 @@
         """Return whether a target is in the own failure domain."""
         return target.record.failure_domain == self._own_domain
 
+    def may_send(self, target: targets.Target) -> bool:
+        """Return whether the limits of a target allow a request now."""
+        return self._quota.may_send(target, self._clock.now_s())
+
     def find_unconfirmed(
         self, limited: collections.abc.Iterable[targets.Target]
     ) -> list[targets.Target]:
--- a/trefoilstand/gateway/limit_reader.py
+++ b/trefoilstand/gateway/limit_reader.py
@@ -43,6 +43,8 @@
         :param now_s: monotonic time.
         """
         target.last_message_s = now_s
+        if kind == "request":
+            target.last_request_s = now_s
         record = target.record
         observation = self._limits.find(
             record.target_id, record.incarnation, now_s
--- a/trefoilstand/gateway/models.py
+++ b/trefoilstand/gateway/models.py
@@ -52,11 +52,16 @@
     :param health_path: path of the health check.
     :param max_connections: connections that a target accepts from all
         entry hosts together, None if it states no number.
+    :param warmup_s: seconds for which a target is cold after its start.
+    :param warmup_requests_per_s: requests a second that a cold target accepts
+        from all entry hosts together, None if there is no limit.
     """
 
     name: str
     health_path: str
     max_connections: int | None
+    warmup_s: float = 0.0
+    warmup_requests_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstand/gateway/probing.py
+++ b/trefoilstand/gateway/probing.py
@@ -118,6 +118,9 @@
             target.record_failure(now_s)
             return None
         self._limits.read_response(target, response, now_s, is_request=False)
+        warmup_s = self._protocol.read_warmup_s(response)
+        if warmup_s is not None:
+            target.warming_until_s = now_s + warmup_s
         report = self._protocol.read_load(response, now_s)
         target.reports_load = report is not None
         if report is not None:
--- a/trefoilstand/gateway/state.py
+++ b/trefoilstand/gateway/state.py
@@ -6,6 +6,7 @@
 import typing
 
 from trefoilstand.fleet import models as fleet_models
+from trefoilstand.gateway import evacuations
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import registry
@@ -26,6 +27,13 @@
         :param key: key of an item.
         """
 
+    @abc.abstractmethod
+    def evacuated_domain(self, key: str) -> str | None:
+        """Return the failure domain that a key evacuates, None for others.
+
+        :param key: key of an item.
+        """
+
     @abc.abstractmethod
     def target_id(self, key: str) -> str | None:
         """Return the id of the target at a key, None for other keys.
@@ -82,6 +90,7 @@
         self.retry_limits = retry_limits
         self.targets = targets.TargetTable()
         self.registry = target_registry
+        self.evacuated_domains = evacuations.EvacuatedDomains()
         self.configuration: models.GatewayConfiguration | None = None
         self.routes: routing.RouteTable | None = None
         self.splits = routing.SplitBalancer(random_source=random_source)
@@ -102,12 +111,21 @@
         :param items: changed items; those without a value were deleted.
         """
         has_targets = False
+        restored_domains: set[str] = set()
         removed_ids: list[str] = []
         now_s = self._clock.now_s()
         for item in items:
             if self._decoder.is_configuration(item.key):
                 self._apply_configuration(item)
                 continue
+            domain = self._decoder.evacuated_domain(item.key)
+            if domain is not None:
+                has_targets = True
+                if item.value is not None:
+                    self.evacuated_domains.evacuate(domain)
+                elif self.evacuated_domains.restore(domain):
+                    restored_domains.add(domain)
+                continue
             target_id = self._decoder.target_id(item.key)
             if target_id is None:
                 continue
@@ -122,6 +140,8 @@
         if has_targets:
             self.registry.remove(removed_ids, now_s)
             self._apply_targets(now_s)
+        if restored_domains:
+            self._assume_cold(restored_domains, now_s)
         if self.configuration is not None:
             self.is_loaded.set()
 
@@ -133,10 +153,28 @@
         if self.registry.expire(now_s):
             self._apply_targets(now_s)
 
+    def _assume_cold(self, domains: set[str], now_s: float) -> None:
+        """Treat the targets of restored domains as cold.
+
+        They may have become cold shortly before, and their entries may not
+        say so yet.
+        """
+        if self.configuration is None:
+            return
+        for target in self.targets.all():
+            policy = self.configuration.services.get(target.record.service)
+            if policy is not None and target.record.failure_domain in domains:
+                target.warming_until_s = max(
+                    target.warming_until_s, now_s + policy.warmup_s
+                )
+
     def _apply_targets(self, now_s: float) -> None:
-        removed_targets = self.targets.replace(
-            self.registry.eligible_targets(), now_s
-        )
+        records = {
+            target_id: record
+            for target_id, record in self.registry.eligible_targets().items()
+            if record.failure_domain not in self.evacuated_domains
+        }
+        removed_targets = self.targets.replace(records, now_s)
         for target in removed_targets:
             if self._connections is not None:
                 self._connections.close_idle_connections(target)
--- a/trefoilstand/gateway/target_protocol.py
+++ b/trefoilstand/gateway/target_protocol.py
@@ -76,6 +76,14 @@
         :raises MalformedLimitError: the value is not a number of requests.
         """
 
+    @abc.abstractmethod
+    def read_warmup_s(self, response: http_models.Response) -> float | None:
+        """Return how long a target stays cold, None if it does not say.
+
+        :param response: response to a health check.
+        :returns: time in seconds, 0 if it is not cold.
+        """
+
     @abc.abstractmethod
     def read_target_id(self, response: http_models.Response) -> str | None:
         """Return the target id in a health check response, None without one.
--- a/trefoilstand/gateway/target_quota.py
+++ b/trefoilstand/gateway/target_quota.py
@@ -5,9 +5,13 @@
 So only as many hosts as the limit allows requests in a second have a share
 of it.  They are ranked for each target by a hash of both, which all hosts
 compute alike, and space their messages evenly.
+
+Cold targets of services that name a rate for them have a limit on requests
+alone; it is shared in the same way.
 """
 
 import abc
+import collections.abc
 import hashlib
 import math
 import typing
@@ -120,6 +124,15 @@
     ).digest()
 
 
+def _next_in_share_s(last_s: float, interval_s: float) -> float:
+    """Return when a share allows the next message.
+
+    :param last_s: monotonic time of the last one, minus infinity before it.
+    :param interval_s: time between messages, infinity without a share.
+    """
+    return math.inf if math.isinf(interval_s) else last_s + interval_s
+
+
 class TargetQuota:
     """Decide when this host may send to targets that state a limit.
 
@@ -132,6 +145,17 @@
     ) -> None:
         self._limits = limits
         self._ranking = ranking
+        self._warmup_rates: dict[str, float] = {}
+
+    def set_warmup_rates(
+        self, rates: collections.abc.Mapping[str, float]
+    ) -> None:
+        """Replace the limits of cold targets.
+
+        :param rates: requests a second that a cold target of a service
+            accepts from all hosts together, by service.
+        """
+        self._warmup_rates = dict(rates)
 
     def is_limited(self, target: targets.Target, now_s: float) -> bool:
         """Return whether a target has a limit.
@@ -139,7 +163,10 @@
         :param target: target in question.
         :param now_s: monotonic time.
         """
-        return self._find(target, now_s) is not None
+        return (
+            self._find(target, now_s) is not None
+            or self._warmup_rate_per_s(target, now_s) is not None
+        )
 
     def needs_recheck(self, target: targets.Target, now_s: float) -> bool:
         """Return whether a limit was not confirmed for some time.
@@ -168,12 +195,19 @@
         :param now_s: monotonic time.
         :returns: infinity if this host has no share of the limit.
         """
-        interval_s = self._interval_s(target, now_s)
-        if interval_s is None:
-            return now_s
-        if math.isinf(interval_s):
-            return math.inf
-        return target.last_message_s + interval_s
+        next_s = now_s
+        limit_per_s = self._stated_limit_per_s(target, now_s)
+        if limit_per_s is not None:
+            interval_s = self._share_interval_s(target, limit_per_s, now_s)
+            next_s = max(
+                next_s, _next_in_share_s(target.last_message_s, interval_s)
+            )
+        rate_per_s = self._warmup_rate_per_s(target, now_s)
+        if rate_per_s is not None:
+            interval_s = self._share_interval_s(target, rate_per_s, now_s)
+            paced_s = _next_in_share_s(target.last_request_s, interval_s)
+            next_s = max(next_s, min(paced_s, target.warming_until_s))
+        return next_s
 
     def count_sends(
         self, target: targets.Target, now_s: float, latest_s: float
@@ -185,32 +219,54 @@
         :param latest_s: monotonic time of the last message.
         :returns: infinity if the target has no limit.
         """
-        interval_s = self._interval_s(target, now_s)
-        if interval_s is None:
+        limits_per_s = []
+        stated_per_s = self._stated_limit_per_s(target, now_s)
+        if stated_per_s is not None:
+            limits_per_s.append(stated_per_s)
+        rate_per_s = self._warmup_rate_per_s(target, now_s)
+        if rate_per_s is not None and target.warming_until_s > latest_s:
+            limits_per_s.append(rate_per_s)
+        if not limits_per_s:
             return math.inf
         first_s = max(self.next_send_s(target, now_s), now_s)
         if first_s > latest_s:
             return 0
+        interval_s = self._share_interval_s(target, min(limits_per_s), now_s)
         return 1 + (latest_s - first_s) // interval_s
 
-    def _interval_s(
-        self, target: targets.Target, now_s: float
-    ) -> float | None:
+    def _share_interval_s(
+        self, target: targets.Target, limit_per_s: float, now_s: float
+    ) -> float:
         """Return the time between messages of this host to a target.
 
-        :returns: None without a limit, infinity if this host has no share.
+        :param target: where the messages would go.
+        :param limit_per_s: messages a second from all hosts together.
+        :param now_s: monotonic time.
+        :returns: infinity if this host has no share.
         """
-        observation = self._find(target, now_s)
-        if observation is None or observation.requests_per_s is None:
-            return None
         if not self._ranking.is_reliable(now_s):
             return math.inf
-        limit_per_s = max(observation.requests_per_s, _MIN_LIMIT_PER_S)
+        limit_per_s = max(limit_per_s, _MIN_LIMIT_PER_S)
         sharing_hosts = min(max(int(limit_per_s), 1), self._ranking.host_count)
         if self._ranking.own_position(target.target_id) >= sharing_hosts:
             return math.inf
         return sharing_hosts / (limit_per_s * _USED_SHARE)
 
+    def _warmup_rate_per_s(
+        self, target: targets.Target, now_s: float
+    ) -> float | None:
+        """Return the limit of a cold target, None if it has none now."""
+        if not self._warmup_rates or not target.is_warming(now_s):
+            return None
+        return self._warmup_rates.get(target.record.service)
+
+    def _stated_limit_per_s(
+        self, target: targets.Target, now_s: float
+    ) -> float | None:
+        """Return the limit that a target stated, None without one."""
+        observation = self._find(target, now_s)
+        return None if observation is None else observation.requests_per_s
+
     def _find(
         self, target: targets.Target, now_s: float
     ) -> rate_limits.LimitObservation | None:
--- a/trefoilstand/gateway/target_selection.py
+++ b/trefoilstand/gateway/target_selection.py
@@ -213,8 +213,15 @@
                         continue
                     self._probe_tasks.discard(task)
                     result = task.result()
-                    if result is not None:
+                    if result is None:
+                        continue
+                    if self._finder.may_send(result.target):
                         results.append(result)
+                    else:
+                        # The probe has shown that the target is cold.
+                        self._connections.release(
+                            result.target, result.connection
+                        )
                 if self._has_ideal_result(request, results):
                     break
         finally:
--- a/trefoilstand/gateway/targets.py
+++ b/trefoilstand/gateway/targets.py
@@ -21,21 +21,24 @@
         "error_s",
         "failures",
         "in_flight",
-        "joined_s",
         "last_message_s",
+        "last_request_s",
         "record",
         "report",
         "reports_load",
         "times_ejected",
+        "warming_until_s",
     )
 
     def __init__(self, *, record: models.TargetRecord, now_s: float) -> None:
         self.record = record
-        #: Monotonic time at which the record was set.
-        self.joined_s = now_s
+        #: Monotonic time up to which it is cold.
+        self.warming_until_s = now_s + record.warmup_left_s
         self.report: models.LoadReport | None = None
         #: Monotonic time of the last own request or probe.
         self.last_message_s = -math.inf
+        #: Monotonic time of the last own request.
+        self.last_request_s = -math.inf
         #: Whether its responses carry its load, None before the first one.
         self.reports_load: bool | None = None
         #: Send times of own requests by attempt number.
@@ -59,8 +62,8 @@
         return self.record.target_id
 
     def is_warming(self, now_s: float) -> bool:
-        """Return whether the target is still slow after its start."""
-        return now_s < self.joined_s + self.record.warmup_left_s
+        """Return whether the target is cold, as after its start."""
+        return now_s < self.warming_until_s
 
     def unreported_count(self) -> int:
         """Return how many own requests the last load report cannot include."""
@@ -125,6 +128,12 @@
         """Return all targets."""
         return self._targets.values()
 
+    def warming_count(self, now_s: float) -> int:
+        """Return how many targets are cold."""
+        return sum(
+            target.is_warming(now_s) for target in self._targets.values()
+        )
+
     def replace(
         self, records: dict[str, models.TargetRecord], now_s: float
     ) -> list[Target]:
@@ -149,7 +158,7 @@
                 current = Target(record=record, now_s=now_s)
             elif current.record is not record:
                 current.record = record
-                current.joined_s = now_s
+                current.warming_until_s = now_s + record.warmup_left_s
             targets[target_id] = current
         removed = [
             target
--- a/trefoilstand/platform/decoder.py
+++ b/trefoilstand/platform/decoder.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import json
+import math
 import re
 import typing
 
@@ -14,6 +15,7 @@
 
 _CONFIGURATION_KEY: typing.Final = "op/config"
 _TARGET_PREFIX: typing.Final = "servers/"
+_EVACUATION_PREFIX: typing.Final = "op/evacuate/"
 #: Requests carry the id of their target in a header field, so anything else
 #: could change the meaning of a request.
 _TARGET_ID_PATTERN: typing.Final = re.compile(r"[\x21-\x7e]{1,200}")
@@ -39,6 +41,12 @@
         """Return whether a key holds the configuration."""
         return key == _CONFIGURATION_KEY
 
+    def evacuated_domain(self, key: str) -> str | None:
+        """Return the failure domain whose evacuation a key requests."""
+        if not key.startswith(_EVACUATION_PREFIX):
+            return None
+        return key[len(_EVACUATION_PREFIX) :] or None
+
     def target_id(self, key: str) -> str | None:
         """Return the target ID in a key, None if it describes no target."""
         if not key.startswith(_TARGET_PREFIX):
@@ -74,6 +82,8 @@
                         name=name,
                         health_path=policy.get("health-path", "/health"),
                         max_connections=_decode_max_connections(policy),
+                        warmup_s=_decode_warmup_s(policy.get("warmup", "0s")),
+                        warmup_requests_per_s=_decode_warmup_rate(policy),
                     )
                     for name, policy in raw["services"].items()
                 },
@@ -198,6 +208,17 @@
     return None if value is None else int(value)
 
 
+def _decode_warmup_rate(policy: dict[str, typing.Any]) -> float | None:
+    """Return the rate that cold targets tolerate, None without a limit."""
+    value = policy.get("warmup-per-s")
+    if value is None:
+        return None
+    rate_per_s = float(value)
+    if not (math.isfinite(rate_per_s) and rate_per_s >= 0):
+        raise ValueError(f"warmup-per-s must not be {rate_per_s}")
+    return rate_per_s or None
+
+
 def _decode_limits(raw: dict[str, typing.Any]) -> handling.Limits:
     default_limits = handling.Limits()
     header_timeout = raw.get("header-timeout")
--- a/trefoilstand/platform/target_protocol.py
+++ b/trefoilstand/platform/target_protocol.py
@@ -14,6 +14,11 @@
 _LOAD_FIELD: typing.Final = b"server-load"
 #: Requests a second that the target accepts from all hosts together.
 _LIMIT_FIELD: typing.Final = b"server-limit"
+#: Milliseconds for which the target stays cold.
+_WARMUP_FIELD: typing.Final = b"warmup-ms"
+#: Longer values would exceed a day, which no start of a target takes.
+_MAX_WARMUP_DIGITS: typing.Final = 8
+_MS_PER_S: typing.Final = 1000
 _TARGET_ID_FIELD: typing.Final = b"instance-id"
 _MISDIRECTED_STATUS: typing.Final = 421
 _PERCENT_PER_UNIT: typing.Final = 100.0
@@ -97,6 +102,15 @@
             )
         return limit_per_s
 
+    def read_warmup_s(self, response: http_models.Response) -> float | None:
+        """Return how long a target stays cold, None if it does not say."""
+        value = response.find_field(_WARMUP_FIELD)
+        if value is None or not value.isdigit():
+            return None
+        if len(value) > _MAX_WARMUP_DIGITS:
+            return None
+        return int(value) / _MS_PER_S
+
     def read_target_id(self, response: http_models.Response) -> str | None:
         """Return the target ID in a health check response, if any."""
         value = response.find_field(_TARGET_ID_FIELD)
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -196,6 +196,20 @@
     in_flight: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DomainEvacuated(Event):
+    """Record that the targets of a failure domain get no more requests."""
+
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DomainRestored(Event):
+    """Record that the evacuation of a failure domain has ended."""
+
+    failure_domain: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TargetRetained(Event):
     """Record that a target stays in use although its entry disappeared."""
