--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -46,6 +46,30 @@
       | misdirected    |
       | silent         |
 
+  # Status 000 was skipped like an interim response until the deadline, and
+  # 600 reached the caller as a response.
+  Scenario Outline: A status that HTTP does not define is no response
+    Given a target with behaviour odd_status_<status> and another with behaviour whole
+    When <kind> request is sent
+    Then the caller gets status <result> with body "<body>"
+    And the request ran <runs> times
+
+    Examples:
+      | status | kind             | result | body | runs |
+      | 000    | a non-idempotent | 502    |      | 1    |
+      | 001    | a non-idempotent | 502    |      | 1    |
+      | 099    | a non-idempotent | 502    |      | 1    |
+      | 101    | a non-idempotent | 502    |      | 1    |
+      | 600    | a non-idempotent | 502    |      | 1    |
+      | 999    | a non-idempotent | 502    |      | 1    |
+      | 0200   | a non-idempotent | 502    |      | 1    |
+      | 20     | a non-idempotent | 502    |      | 1    |
+      | +20    | a non-idempotent | 502    |      | 1    |
+      | 2x0    | a non-idempotent | 502    |      | 1    |
+      | 599    | a non-idempotent | 599    | done | 1    |
+      | 000    | an idempotent    | 200    | done | 2    |
+      | 600    | an idempotent    | 200    | done | 2    |
+
   Scenario: All targets shed load
     Given a target with behaviour shed only
     When a non-idempotent request is sent
--- a/features/support/scripted_http.py
+++ b/features/support/scripted_http.py
@@ -63,6 +63,8 @@
         self.connection_closed = asyncio.Event()
         self.health_delay_s = 0.0
         self.work_s = 0.0
+        #: Status of the responses of the behaviour `odd_status`.
+        self.status = "200"
         self.refusal_has_id = True
         self.answers_after_refusal = True
         self.refuses_before_health = False
@@ -115,7 +117,11 @@
                 self.requests.append(head + body)
                 id_match = re.search(rb"(?i)request-id: (\S+)", head)
                 request_id = id_match[1] if id_match else None
-                await getattr(self, f"_{self.behaviour}")(
+                behaviour, _, status = self.behaviour.partition("odd_status_")
+                if status:
+                    self.status = status
+                    behaviour = "odd_status"
+                await getattr(self, f"_{behaviour}")(
                     request_id, reader, writer
                 )
         except (OSError, asyncio.IncompleteReadError):
@@ -167,6 +173,10 @@
         self.runs.append(request_id)
         _reset_connection(writer)
 
+    async def _odd_status(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        writer.write(response_bytes(request_id, status=self.status))
+
     async def _cut(self, request_id, reader, writer):
         self.runs.append(request_id)
         writer.write(response_bytes(request_id)[:-2])
--- a/trefoilstand/http/outbound_connection.py
+++ b/trefoilstand/http/outbound_connection.py
@@ -25,6 +25,12 @@
 _MAX_FOREIGN_RESPONSES: typing.Final = 8
 _STATUSES_WITHOUT_BODY: typing.Final = frozenset({204, 304})
 _FIRST_FINAL_STATUS: typing.Final = 200
+#: Statuses that HTTP defines.  The parser accepts others, and takes those
+#: below 100 for interim responses.
+_STATUSES: typing.Final = range(100, 600)
+#: A response with this status ends HTTP on the connection, which no request
+#: asks for.
+_SWITCHING_PROTOCOLS: typing.Final = 101
 
 #: Returns whether a response belongs to the request in progress.
 Matcher = collections.abc.Callable[[models.Response], bool]
@@ -213,6 +219,9 @@
         self._unparsed_bytes = 0
         self._header_bytes = 0
         status = self._parser.get_status_code()
+        if status not in _STATUSES or status == _SWITCHING_PROTOCOLS:
+            self._fail_exchange(models.ConnectionFault.MALFORMED)
+            return
         if status < _FIRST_FINAL_STATUS or status in _STATUSES_WITHOUT_BODY:
             return
         fields = dict(self._header_fields)
