--- a/features/steps/layout_steps.py
+++ b/features/steps/layout_steps.py
@@ -40,7 +40,7 @@
 @given("the modules that the deployed daemon loads")
 def load_daemon_modules(context):
     program = (
-        "import sys, trefoilstand.platform.daemon, trefoilstand.fleet.sync;"
+        "import sys, trefoilstand.platform.runner, trefoilstand.fleet.sync;"
         "import trefoilstand.fleet.heartbeat;"
         "from trefoilstand.telemetry import events;"
         "events.import_libraries();"
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -4,6 +4,7 @@
 import collections.abc
 import enum
 import random
+import socket
 import time
 import typing
 
@@ -66,6 +67,7 @@
     :param decoder: decodes the store's items.
     :param protocol: header fields shared with callers and targets.
     :param random_source: source of random numbers.
+    :param sockets: sockets that listen already, by `IP:port`.
     """
 
     def __init__(
@@ -76,8 +78,10 @@
         decoder: state.ItemDecoder,
         protocol: target_protocol.TargetProtocol,
         random_source: random.Random,
+        sockets: collections.abc.Mapping[str, socket.socket] | None = None,
     ) -> None:
         self._settings = settings
+        self._sockets = dict(sockets or {})
         self._random = random_source
         self._clock = clocks.MonotonicClock()
         self.phase = Phase.STARTING
@@ -235,7 +239,10 @@
         ]
         for endpoint, listener in servers:
             await listener.start(
-                ip=endpoint.ip, port=endpoint.port, backlog=_BACKLOG
+                ip=endpoint.ip,
+                port=endpoint.port,
+                backlog=_BACKLOG,
+                listening_socket=self._sockets.pop(str(endpoint), None),
             )
         await self.fleet.reader.start()
         joining = asyncio.get_running_loop().create_task(self._join_fleet())
--- a/trefoilstand/http/server.py
+++ b/trefoilstand/http/server.py
@@ -1,6 +1,7 @@
 """HTTP server for the requests of callers on one event loop."""
 
 import asyncio
+import socket
 
 from trefoilstand.http import buffer_budget
 from trefoilstand.http import caller_connection
@@ -33,15 +34,30 @@
         self.is_draining = False
         self._server: asyncio.Server | None = None
 
-    async def start(self, *, ip: str, port: int, backlog: int) -> None:
+    async def start(
+        self,
+        *,
+        ip: str,
+        port: int,
+        backlog: int,
+        listening_socket: socket.socket | None = None,
+    ) -> None:
         """Start to listen.
 
         :param ip: IP address to listen on.
         :param port: TCP port, 0 for any free one.
         :param backlog: connections that may wait to be accepted.
+        :param listening_socket: socket that listens on the address already.
         :raises OSError: the address cannot be listened on.
         """
         loop = asyncio.get_running_loop()
+        if listening_socket is not None:
+            self._server = await loop.create_server(
+                lambda: caller_connection.CallerConnection(server=self),
+                sock=listening_socket,
+                backlog=backlog,
+            )
+            return
         self._server = await loop.create_server(
             lambda: caller_connection.CallerConnection(server=self),
             ip,
--- a/trefoilstand/platform/daemon.py
+++ b/trefoilstand/platform/daemon.py
@@ -1,142 +1,17 @@
-"""Run an entry host on the platform."""
+"""Program of an entry host on the platform.
 
-import asyncio
+It listens for callers before it imports the modules that serve them.
+"""
+
+import importlib
 import os
 import pathlib
-import random
-import secrets
 import signal
-import sys
 import typing
 
-import uvloop
-
-from trefoilstand.gateway import application
-from trefoilstand.helpers import supervision
-from trefoilstand.platform import decoder
-from trefoilstand.platform import pages
-from trefoilstand.platform import settings
-from trefoilstand.platform import store
-from trefoilstand.platform import target_protocol
-from trefoilstand.telemetry import events
-from trefoilstand.telemetry import stream
+from trefoilstand.platform import listeners
 
 _SETTINGS_VARIABLE: typing.Final = "TREFOILSTAND_SETTINGS"
-_EXIT_BAD_SETTINGS: typing.Final = 2
-#: Interval between checks of the settings file, which may change without
-#: a signal.
-_SETTINGS_CHECK_INTERVAL_S: typing.Final = 2.0
-
-
-class SettingsWatcher:
-    """Reload the settings file whenever its content changes.
-
-    :param path: path of the settings file.
-    :param gateway: gateway that applies the changed settings.
-    """
-
-    def __init__(
-        self, *, path: pathlib.Path, gateway: application.Gateway
-    ) -> None:
-        self._path = path
-        self._gateway = gateway
-        self._applied_text = path.read_text(encoding="utf-8")
-
-    async def run(self) -> None:
-        """Check the file at regular intervals until cancelled."""
-        await supervision.repeat("settings", self._check)
-
-    async def _check(self) -> None:
-        await asyncio.sleep(_SETTINGS_CHECK_INTERVAL_S)
-        self.reload("file changed")
-
-    def reload(self, cause: str) -> None:
-        """Apply the settings if the file has changed and is valid.
-
-        An unreadable or invalid file is logged, and the settings in force
-        remain.
-
-        :param cause: reason of the check, as logged.
-        """
-        try:
-            text = self._path.read_text(encoding="utf-8")
-            if text == self._applied_text:
-                return
-            self._gateway.update_settings(settings.parse_settings(text))
-        except (OSError, settings.PlatformSettingsError) as error:
-            events.warning(
-                events.ComponentFailed(
-                    component="settings",
-                    error_type=type(error).__name__,
-                    detail=str(error),
-                )
-            )
-            return
-        self._applied_text = text
-        events.info(events.SettingsReloaded(cause=cause, is_changed=True))
-
-
-async def run(path: pathlib.Path) -> None:
-    """Run the gateway until SIGTERM or SIGINT, and let it drain.
-
-    :param path: path of the settings file.
-    :raises settings.PlatformSettingsError: the file is not valid.
-    :raises OSError: the file cannot be read or an address cannot be
-        listened on.
-    """
-    gateway_settings = settings.parse_settings(
-        path.read_text(encoding="utf-8")
-    )
-    gateway = application.Gateway(
-        settings=gateway_settings,
-        store=store.PlatformStore(
-            endpoint=gateway_settings.store_endpoint,
-            local_ip=gateway_settings.caller_endpoint.ip,
-        ),
-        decoder=decoder.StoreDecoder(),
-        protocol=target_protocol.PlatformTargetProtocol(),
-        random_source=random.Random(secrets.randbits(64)),
-    )
-    gateway.add_page(
-        gateway_settings.readiness_endpoint,
-        pages.ReadinessPage(host_directory=gateway.directory),
-    )
-    if gateway_settings.directory_endpoint is not None:
-        gateway.add_page(
-            gateway_settings.directory_endpoint,
-            pages.ResolvePage(
-                host_directory=gateway.directory,
-                lifetime_s=gateway_settings.answer_lifetime_s,
-            ),
-        )
-    settings_watcher = SettingsWatcher(path=path, gateway=gateway)
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, gateway.request_leave)
-    loop.add_signal_handler(signal.SIGINT, gateway.request_leave)
-    loop.add_signal_handler(signal.SIGHUP, settings_watcher.reload, "signal")
-    tasks = [
-        loop.create_task(settings_watcher.run()),
-        loop.create_task(_configure_logging_late(gateway)),
-    ]
-    try:
-        await gateway.run()
-    finally:
-        for task in tasks:
-            task.cancel()
-
-
-async def _configure_logging_late(gateway: application.Gateway) -> None:
-    """Configure logging once callers no longer wait for it.
-
-    :param gateway: gateway that loads its first state.
-    """
-    await gateway.wait_until_loaded()
-    await asyncio.to_thread(events.import_libraries)
-    _configure_logging()
-
-
-def _configure_logging() -> None:
-    events.configure_logging(stream.BoundedStreamHandler(descriptor=1))
 
 
 def main() -> None:
@@ -145,18 +20,13 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = pathlib.Path(os.environ[_SETTINGS_VARIABLE])
     try:
-        uvloop.run(run(path))
-    except (OSError, settings.PlatformSettingsError) as error:
-        _configure_logging()
-        events.error(
-            events.ComponentFailed(
-                component="daemon",
-                error_type=type(error).__name__,
-                detail=str(error),
-            )
-        )
-        events.flush()
-        sys.exit(_EXIT_BAD_SETTINGS)
+        settings_text = path.read_text(encoding="utf-8")
+    except (OSError, ValueError):
+        # The runner reads the file again and reports the error.
+        settings_text = ""
+    sockets = listeners.open_listeners(settings_text)
+    runner = importlib.import_module("trefoilstand.platform.runner")
+    runner.main(path, sockets)
 
 
 if __name__ == "__main__":
