--- a/trefoilstand/gateway/candidates.py
+++ b/trefoilstand/gateway/candidates.py
@@ -5,6 +5,7 @@
 import random
 
 from trefoilstand.gateway import const
+from trefoilstand.gateway import domain_failures
 from trefoilstand.gateway import models
 from trefoilstand.gateway import placements
 from trefoilstand.gateway import prediction
@@ -17,20 +18,21 @@
 class Candidates:
     """Hold the targets for one request, each group best first.
 
-    :param near: targets of the own failure domain, to be probed.
-    :param far: targets of other failure domains, to be probed.
+    :param preferred: targets to be probed first, those of the own failure
+        domain unless most of them fail.
+    :param others: targets to be probed if none of those is good enough.
     :param limited: targets with a request limit that may be sent to now.
         A probe would use up the limit, so they are used without one.
     """
 
-    near: list[targets.Target]
-    far: list[targets.Target]
+    preferred: list[targets.Target]
+    others: list[targets.Target]
     limited: list[targets.Target]
 
     @property
     def probed(self) -> list[targets.Target]:
-        """Return the targets to be probed, near ones first."""
-        return [*self.near, *self.far]
+        """Return the targets to be probed, preferred ones first."""
+        return [*self.preferred, *self.others]
 
 
 class CandidateFinder:
@@ -97,9 +99,14 @@
             request,
             now_s,
         )
+        near = [target for target in ranked if self.is_near(target)]
+        far = [target for target in ranked if not self.is_near(target)]
+        is_failing = far and domain_failures.is_failing(
+            (target for target in unlimited if self.is_near(target)), now_s
+        )
         return Candidates(
-            near=[target for target in ranked if self.is_near(target)],
-            far=[target for target in ranked if not self.is_near(target)],
+            preferred=far if is_failing else near,
+            others=near if is_failing else far,
             limited=self._sort(limited, request, now_s),
         )
 
--- a/trefoilstand/gateway/request_queue.py
+++ b/trefoilstand/gateway/request_queue.py
@@ -116,6 +116,19 @@
             for queued in self._requests
         )
 
+    def is_first(self, queued: QueuedRequest, now_s: float) -> bool:
+        """Return whether a request is the most urgent one without an offer.
+
+        :param queued: request that waits.
+        :param now_s: monotonic time.
+        """
+        first = min(
+            (item for item in self._requests if not item.future.done()),
+            key=lambda item: item.sort_key(now_s),
+            default=None,
+        )
+        return first is queued
+
     def enqueue(
         self, request: placements.SelectionRequest, now_s: float
     ) -> QueuedRequest:
--- a/trefoilstand/gateway/scheduling.py
+++ b/trefoilstand/gateway/scheduling.py
@@ -184,6 +184,10 @@
             done, _ = await asyncio.wait({queued.future}, timeout=pause_s)
             if done:
                 return queued.future.result()
+            if not queue.is_first(queued, self._clock.now_s()):
+                # What the most urgent request does not find, others rarely
+                # do; their probes would use up the budget of all.
+                continue
             selected = await self._selector.select(request)
             offered = queued.offered_placement()
             if offered is not None:
--- a/trefoilstand/gateway/target_selection.py
+++ b/trefoilstand/gateway/target_selection.py
@@ -83,21 +83,21 @@
         """Probe targets and return the best one with capacity."""
         if self._is_load_unreported(found.probed):
             return await self._select_unprobed(request, found.probed)
-        near, far = found.near, found.far
+        preferred, others = found.preferred, found.others
         results: list[probing.ProbeResult] = []
         try:
             await self._probe_in_rounds(
-                request, near, results, const.FIRST_ROUND_PROBES
+                request, preferred, results, const.FIRST_ROUND_PROBES
             )
             if not self._has_good_result(request, results):
                 await self._probe_in_rounds(
-                    request, far, results, const.FAR_ROUND_PROBES
+                    request, others, results, const.FAR_ROUND_PROBES
                 )
         except asyncio.CancelledError:
             self._release_all(results)
             raise
-        if not results and not request.is_repeated:
-            return await self._select_unprobed(request, near or far)
+        if not results:
+            return await self._select_unprobed(request, found.probed)
         return self._choose_result(request, results)
 
     def _is_load_unreported(self, probed: list[targets.Target]) -> bool:
