--- a/features/steps/state_steps.py
+++ b/features/steps/state_steps.py
@@ -61,14 +61,14 @@
             for index, copy in enumerate(replicas):
                 origin = random_source.choice([store, *replicas])
                 if random_source.random() < 0.5:
-                    copy.apply(origin.changes_since(copy.revision))
-                    copy.apply(origin.changes_since(copy.revision))
+                    copy.apply(origin.changes_since(copy.position))
+                    copy.apply(origin.changes_since(copy.position))
                 for item in copy.items():
                     last_revision = last_revisions[index].get(item.key, 0)
                     assert item.revision >= last_revision
                     last_revisions[index][item.key] = item.revision
         for copy in replicas:
-            copy.apply(store.changes_since(copy.revision))
+            copy.apply(store.changes_since(copy.position))
             context.content_matches.append(
                 sorted(copy.items(), key=lambda item: item.key)
                 == sorted(store.items(), key=lambda item: item.key)
--- a/features/support/heartbeat_fleet.py
+++ b/features/support/heartbeat_fleet.py
@@ -131,7 +131,7 @@
         if source_host is None or source_host.is_down:
             return None
         fetched = models.Transfer(
-            delta=source_host.state.changes_since(self._host.state.revision),
+            delta=source_host.state.changes_since(self._host.state.position),
             members=(source_host.members.own, *source_host.members.members())
             if wants_members
             else (),
--- a/features/support/reading_host.py
+++ b/features/support/reading_host.py
@@ -1,11 +1,13 @@
 """Entry host that reads a scripted store in simulated time."""
 
 import asyncio
+import dataclasses
 import json
 import random
 
 from trefoilstand.experiments import virtual_time
 from trefoilstand.fleet import coordinator
+from trefoilstand.fleet import lost_items
 from trefoilstand.fleet import models
 from trefoilstand.fleet import readers
 from trefoilstand.fleet import replica
@@ -39,6 +41,16 @@
         self.revision = 1
         self._items = {}
         self._changes = []
+        self.era = 0
+
+    def copy(self):
+        return self.revision, dict(self._items), list(self._changes)
+
+    def restore(self, copy):
+        """Come back from an earlier copy, which starts a new era."""
+        self.era += 1
+        self.revision = copy[0]
+        self._items, self._changes = dict(copy[1]), list(copy[2])
 
     def put(self, key, value):
         self.revision += 1
@@ -64,16 +76,25 @@
 
     async def read_all(self):
         await self._start_call()
+        return self.snapshot()
+
+    def snapshot(self):
         return models.Delta(
             after_revision=0,
             up_to_revision=self.revision,
-            items=tuple(self._items.values()),
+            items=self._with_era(self._items.values()),
             is_snapshot=True,
+            era=self.era,
         )
 
+    def _with_era(self, items):
+        return tuple(dataclasses.replace(item, era=self.era) for item in items)
+
     async def watch(self, after_revision, wait_s):
         await self._start_call()
         started_s = self._clock.now_s()
+        if after_revision > self.revision:
+            raise store.HistoryLostError("status 410")
         while self.revision <= after_revision:
             if self._clock.now_s() >= started_s + wait_s:
                 break
@@ -85,6 +106,9 @@
             )
             if is_cut or self.is_down():
                 raise store.StoreError("connection closed")
+        return self.changes_since(after_revision)
+
+    def changes_since(self, after_revision):
         latest = {
             item.key: item
             for item in self._changes
@@ -93,7 +117,8 @@
         return models.Delta(
             after_revision=after_revision,
             up_to_revision=self.revision,
-            items=tuple(latest.values()),
+            items=self._with_era(latest.values()),
+            era=self.era,
         )
 
     def close(self):
@@ -155,6 +180,9 @@
             random_source=random_source
         )
         self.replica = replica.Replica()
+        self._lost_items = lost_items.LostItemRetention(
+            state=self.replica, staleness=self.staleness, clock=clock
+        )
         self.state = state.GatewayState(
             decoder=decoder.StoreDecoder(),
             connections=None,
@@ -199,6 +227,7 @@
     async def _run_ticks(self):
         while True:
             await asyncio.sleep(_TICK_INTERVAL_S)
+            self._lost_items.tick(self._clock.now_s())
             self.state.tick(self._clock.now_s())
 
     def uses(self, target_id):
--- a/trefoilstand/fleet/codec.py
+++ b/trefoilstand/fleet/codec.py
@@ -19,9 +19,15 @@
         after_revision=delta.after_revision,
         up_to_revision=delta.up_to_revision,
         is_snapshot=delta.is_snapshot,
+        era=delta.era,
         items=[
             peer_pb2.StateItem(
-                key=item.key, revision=item.revision, value=item.value
+                key=item.key,
+                revision=item.revision,
+                value=item.value,
+                eras_before=delta.era - item.era,
+                origin_era=item.origin.era,
+                origin_revision=item.origin.revision,
             )
             for item in delta.items
         ],
@@ -34,11 +40,16 @@
         after_revision=message.after_revision,
         up_to_revision=message.up_to_revision,
         is_snapshot=message.is_snapshot,
+        era=message.era,
         items=tuple(
             models.Item(
                 key=item.key,
                 revision=item.revision,
                 value=item.value if item.HasField("value") else None,
+                era=max(message.era - item.eras_before, 0),
+                origin=models.Position(
+                    era=item.origin_era, revision=item.origin_revision
+                ),
             )
             for item in message.items
         ),
--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -115,5 +115,17 @@
 #: longer.
 READER_ROLE_DELAY_S: typing.Final = 1.0
 
+#: How long a key that a restoration of the store lost stays in use.  Entries
+#: are back within about 2 s of the store's return, and reach all hosts after
+#: at most one :data:`BATCH_PAUSE_S`.
+LOST_ITEM_RETENTION_S: typing.Final = 2.3
+#: Revisions whose key is remembered to tell a copy of the store from what was
+#: written after it: some tens of seconds of 100 changes per second.
+MAX_LOGGED_CHANGES: typing.Final = 4096
+#: How long a process without state asks peers first when its first response
+#: of the store is from a restored one, as only peers know what was lost.
+#: Joining the peers and one transfer take about 0.5 s.
+FIRST_PEER_STATE_WAIT_S: typing.Final = 1.0
+
 #: Removals kept for hosts whose replica is behind.
 MAX_REMEMBERED_REMOVALS: typing.Final = 4096
--- a/trefoilstand/fleet/coordinator.py
+++ b/trefoilstand/fleet/coordinator.py
@@ -199,15 +199,34 @@
         if self._needs_snapshot or not self._state.revision:
             delta = await self._store.read_all()
             self._needs_snapshot = False
+            if delta.era and not self._state.revision:
+                await self._wait_for_peer_state()
         else:
             delta = await self._store.watch(
                 self._state.revision, self._watch_wait_s()
             )
             confirmed_s = self._clock.now_s()
+            self._needs_snapshot = delta.era > self._state.era
         has_advanced = self._state.apply(delta)
-        self._staleness.confirm(confirmed_s)
+        # A response of an earlier era may be late, and a delta may not apply
+        # to the state that a peer has sent meanwhile.
+        if (
+            delta.era == self._state.era
+            and delta.up_to_revision <= self._state.revision
+        ):
+            self._staleness.confirm(confirmed_s)
         return has_advanced
 
+    async def _wait_for_peer_state(self) -> None:
+        """Wait until a peer has sent its state, for a limited time.
+
+        A new process cannot tell which values and removals the store lost
+        when it was restored, but its peers can.
+        """
+        end_s = self._clock.now_s() + const.FIRST_PEER_STATE_WAIT_S
+        while not self._state.revision and self._clock.now_s() < end_s:
+            await asyncio.sleep(const.MIN_POLL_INTERVAL_S)
+
     async def _handle_failure(self, error: stores.StoreError) -> None:
         if not self._consecutive_failures:
             events.warning(
--- a/trefoilstand/fleet/exchange.py
+++ b/trefoilstand/fleet/exchange.py
@@ -8,6 +8,7 @@
 from trefoilstand.fleet import const
 from trefoilstand.fleet import limit_announcer
 from trefoilstand.fleet import messages
+from trefoilstand.fleet import models
 from trefoilstand.fleet import state_fetcher
 from trefoilstand.fleet import topology
 from trefoilstand.helpers import lifecycle
@@ -217,7 +218,7 @@
             self._heartbeats.record_sent_revision(address)
         self._propagate(received, received.sender)
         if received.is_replica_behind:
-            self._catch_up(address, received.revision)
+            self._catch_up(address, received.position)
         elif self._compares_members_with(received.sender):
             self._compare_members(received, address)
 
@@ -233,7 +234,7 @@
         elif received.is_newly_confirmed and self.view.is_primary_relay:
             self.announce_confirmation(origin)
 
-    def _catch_up(self, address: str, revision: int) -> None:
+    def _catch_up(self, address: str, position: models.Position) -> None:
         """Fetch newer state, within the own failure domain if possible."""
         if self._transfers.is_running:
             return
@@ -246,7 +247,7 @@
                     delay_s = const.FAR_FETCH_DELAY_S
         self._transfers.fetch(
             address,
-            revision,
+            position,
             delay_s=delay_s,
             on_advanced=self._announce_fetched,
         )
@@ -291,8 +292,7 @@
         """Ignore a refused datagram; the reply timeout detects the loss."""
 
     async def _run_rounds(self) -> None:
-        # The delay postpones the import of the transfers' library, so a
-        # starting process serves its callers some 50 ms sooner.
+        # Postpones an import of 50 ms until callers are served.
         await asyncio.sleep(const.TRANSFER_SERVER_DELAY_S)
         own_endpoint = addresses.parse_address(self._members.own.peer_address)
         await self._transfers.serve(own_endpoint.ip, own_endpoint.port)
--- a/trefoilstand/fleet/heartbeat.py
+++ b/trefoilstand/fleet/heartbeat.py
@@ -7,6 +7,7 @@
 from trefoilstand.fleet import codec
 from trefoilstand.fleet import const
 from trefoilstand.fleet import messages
+from trefoilstand.fleet import models
 from trefoilstand.fleet import rate_limits
 from trefoilstand.fleet import replica
 from trefoilstand.fleet import staleness_tracker
@@ -45,8 +46,8 @@
         self._staleness = staleness
         self._limits = limits
         self._random = random_source
-        #: Revision that each peer has at least, by peer address.
-        self._peer_revisions: dict[str, int] = {}
+        #: Position that each peer has at least, by peer address.
+        self._peer_positions: dict[str, models.Position] = {}
         #: Updates of the own failure domain to send to each other domain.
         self._far_update_queues: dict[str, update_queue.UpdateQueue] = {}
         members.add_listener(self._queue_for_far_domains)
@@ -82,6 +83,7 @@
                 member_codec.encode_member(member)
                 for member in self._choose_updates(receiver, relays)
             ],
+            era=self._state.era,
             revision=self._state.revision,
             confirmed_age_ms=int(age_ms),
             wants_reply=wants_reply,
@@ -91,9 +93,12 @@
             ),
         )
         data = message.SerializeToString()
-        known_revision = self._peer_revisions.get(receiver, 0)
-        if 0 < known_revision < self._state.revision:
-            delta = self._state.changes_since(known_revision)
+        known = self._peer_positions.get(receiver, models.NO_POSITION)
+        if (
+            known.era == self._state.era
+            and 0 < known.revision < self._state.revision
+        ):
+            delta = self._state.changes_since(known)
             message.delta.CopyFrom(codec.encode_delta(delta))
             data_with_delta = message.SerializeToString()
             if len(data_with_delta) <= const.MAX_DATAGRAM_BYTES:
@@ -123,15 +128,17 @@
             if member is not None:
                 self._members.apply(member, now_s)
         self._members.record_contact(sender, now_s)
-        self._peer_revisions[sender.peer_address] = message.revision
+        position = models.Position(era=message.era, revision=message.revision)
+        self._peer_positions[sender.peer_address] = position
         self._members.reported_live_count = message.live_hosts
         has_advanced = False
         if message.HasField("delta"):
             has_advanced = self._state.apply(codec.decode_delta(message.delta))
-        is_replica_behind = message.revision > self._state.revision
+        is_replica_behind = position > self._state.position
         is_newly_confirmed = False
         if (
             not is_replica_behind
+            and message.era == self._state.era
             and message.confirmed_age_ms != _UNCONFIRMED_MS
         ):
             is_newly_confirmed = self._staleness.confirm(
@@ -139,14 +146,14 @@
             )
         return messages.HeartbeatResult(
             sender=sender,
-            revision=message.revision,
+            position=position,
             wants_reply=message.wants_reply,
             is_new_process=known_member is None
             or known_member.process_id != sender.process_id,
             has_advanced=has_advanced,
             is_newly_confirmed=is_newly_confirmed,
             is_replica_behind=is_replica_behind,
-            is_sender_behind=message.revision < self._state.revision,
+            is_sender_behind=position < self._state.position,
             has_different_live_count=message.live_hosts
             != self._members.live_count,
             has_new_limit=self._apply_limits(message, now_s),
@@ -175,11 +182,11 @@
         return has_new_limit
 
     def record_sent_revision(self, receiver: str) -> None:
-        """Record that the current revision was sent to a peer.
+        """Record that the current position was sent to a peer.
 
         :param receiver: peer address.
         """
-        self._peer_revisions[receiver] = self._state.revision
+        self._peer_positions[receiver] = self._state.position
 
     def _choose_updates(
         self, receiver: str, relays: tuple[str, ...]
--- a/trefoilstand/fleet/messages.py
+++ b/trefoilstand/fleet/messages.py
@@ -5,6 +5,7 @@
 
 from trefoilstand import exceptions
 from trefoilstand.fleet import const
+from trefoilstand.fleet import models
 from trefoilstand.peers import models as peers_models
 
 
@@ -17,7 +18,7 @@
     """Hold what a received heartbeat changed and requests.
 
     :param sender: member that sent it, None if malformed.
-    :param revision: revision that the sender has.
+    :param position: position of the replica of the sender.
     :param wants_reply: whether the sender requests a reply.
     :param is_new_process: whether the process of the sender was not known
         before.
@@ -33,7 +34,7 @@
     """
 
     sender: peers_models.Member | None
-    revision: int = 0
+    position: models.Position = models.NO_POSITION
     wants_reply: bool = False
     is_new_process: bool = False
     has_advanced: bool = False
@@ -82,7 +83,7 @@
 
     @abc.abstractmethod
     def record_sent_revision(self, receiver: str) -> None:
-        """Record that the current revision was sent to a peer.
+        """Record that the current position was sent to a peer.
 
         :param receiver: peer address.
         """
--- a/trefoilstand/fleet/staleness_tracker.py
+++ b/trefoilstand/fleet/staleness_tracker.py
@@ -58,6 +58,15 @@
         self._confirmed_s = _NEVER_S
         self._is_invalidated = True
 
+    def record_restoration(self, now_s: float) -> None:
+        """Record that the store came back from an older copy.
+
+        Entries expire in it like in an outage, however short that was.
+
+        :param now_s: monotonic time.
+        """
+        self._outage_end_s = max(self._outage_end_s, now_s)
+
     @property
     def confirmed_s(self) -> float:
         """Return the last time at which the replica was known to be current.
--- a/trefoilstand/fleet/state_fetcher.py
+++ b/trefoilstand/fleet/state_fetcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 
+from trefoilstand.fleet import models
 from trefoilstand.fleet import replica
 from trefoilstand.fleet import transfer
 from trefoilstand.peers import membership
@@ -66,7 +67,7 @@
     def fetch(
         self,
         address: str,
-        revision: int,
+        position: models.Position,
         *,
         delay_s: float,
         on_advanced: collections.abc.Callable[[str], None],
@@ -74,7 +75,7 @@
         """Fetch state from a peer unless a transfer is in progress.
 
         :param address: peer address.
-        :param revision: revision that the peer is known to have; nothing is
+        :param position: position that the peer is known to have; nothing is
             fetched if the replica reaches it during a delay.
         :param delay_s: time to wait for the state from another source.
         :param on_advanced: called with the peer address if the replica has
@@ -83,7 +84,7 @@
         if self.is_running:
             return
         self._task = asyncio.get_running_loop().create_task(
-            self._fetch_state(address, revision, delay_s, on_advanced)
+            self._fetch_state(address, position, delay_s, on_advanced)
         )
 
     def fetch_members(
@@ -108,13 +109,13 @@
     async def _fetch_state(
         self,
         address: str,
-        revision: int,
+        position: models.Position,
         delay_s: float,
         on_advanced: collections.abc.Callable[[str], None],
     ) -> None:
         if delay_s:
             await asyncio.sleep(delay_s)
-            if self._state.revision >= revision:
+            if self._state.position >= position:
                 return
         await self._fetch(address, on_advanced)
 
--- a/trefoilstand/fleet/store.py
+++ b/trefoilstand/fleet/store.py
@@ -33,6 +33,8 @@
         :param wait_s: how long the store may hold the call without
             changes.
         :returns: the changes, a delta without items if there were none.
+            They may be of a later era than the revision, and are then no
+            use without a snapshot.
         :raises HistoryLostError: a new snapshot is needed.
         :raises StoreError: no complete response came in time.
         """
--- a/trefoilstand/fleet/sync.py
+++ b/trefoilstand/fleet/sync.py
@@ -51,7 +51,9 @@
         request = await stream.recv_message()
         if request is None:
             return
-        delta = self._state.changes_since(request.after_revision)
+        delta = self._state.changes_since(
+            models.Position(era=request.era, revision=request.after_revision)
+        )
         message = codec.encode_delta(delta)
         if request.wants_members:
             message.members.extend(
@@ -105,6 +107,7 @@
             async with asyncio.timeout(const.SYNC_TIMEOUT_S):
                 message = await peer_grpc.StateStub(channel).Sync(
                     peer_pb2.SyncRequest(
+                        era=self._state.era,
                         after_revision=self._state.revision,
                         wants_members=wants_members,
                     )
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -349,7 +349,7 @@
             now_s,
             reported_count=self.fleet.members.reported_live_count,
         )
-        self.fleet.host_ranking.update(now_s)
+        self.fleet.tick(now_s)
         self.state.tick(now_s)
         self.connections.close_expired()
         self._update_probe_rate()
--- a/trefoilstand/gateway/registry.py
+++ b/trefoilstand/gateway/registry.py
@@ -108,6 +108,15 @@
                 is_mass_removal=removed_share >= const.MASS_REMOVAL_SHARE,
             )
 
+    def discard(self, target_ids: list[str]) -> None:
+        """Drop targets whose entries are not expected to return.
+
+        :param target_ids: identities of the targets.
+        """
+        for target_id in target_ids:
+            self._records.pop(target_id, None)
+            self._expired.pop(target_id, None)
+
     def _retain(
         self,
         record: models.TargetRecord,
--- a/trefoilstand/gateway/replication.py
+++ b/trefoilstand/gateway/replication.py
@@ -8,6 +8,7 @@
 from trefoilstand.fleet import const as fleet_const
 from trefoilstand.fleet import coordinator
 from trefoilstand.fleet import exchange
+from trefoilstand.fleet import lost_items
 from trefoilstand.fleet import messages
 from trefoilstand.fleet import rate_limits
 from trefoilstand.fleet import replica
@@ -67,6 +68,9 @@
             random_source=random_source,
             entry_heartbeat_s=settings.entry_heartbeat_s,
         )
+        self._lost_items = lost_items.LostItemRetention(
+            state=self.replica, staleness=self.staleness, clock=clock
+        )
         self.transfers = state_fetcher.StateFetcher(
             state=self.replica,
             members=self.members,
@@ -94,6 +98,14 @@
             or str(settings.peer_endpoint) in settings.seeds,
         )
 
+    def tick(self, now_s: float) -> None:
+        """Update the ranking of hosts and drop what has expired.
+
+        :param now_s: monotonic time.
+        """
+        self.host_ranking.update(now_s)
+        self._lost_items.tick(now_s)
+
     def announce_limit(self) -> None:
         """Tell other hosts soon that a target states a limit."""
         self.peers.announce_limits(topology.Origin.STORE)
--- a/trefoilstand/gateway/state.py
+++ b/trefoilstand/gateway/state.py
@@ -113,6 +113,7 @@
         has_targets = False
         restored_domains: set[str] = set()
         removed_ids: list[str] = []
+        gone_ids: list[str] = []
         now_s = self._clock.now_s()
         for item in items:
             if self._decoder.is_configuration(item.key):
@@ -133,12 +134,15 @@
             record = None
             if item.value is not None:
                 record = self._decoder.decode_target(target_id, item.value)
-            if record is None:
+            if item.is_certainly_gone:
+                gone_ids.append(target_id)
+            elif record is None:
                 removed_ids.append(target_id)
             else:
                 self.registry.set(record)
         if has_targets:
             self.registry.remove(removed_ids, now_s)
+            self.registry.discard(gone_ids)
             self._apply_targets(now_s)
         if restored_domains:
             self._assume_cold(restored_domains, now_s)
--- a/trefoilstand/platform/store.py
+++ b/trefoilstand/platform/store.py
@@ -12,6 +12,7 @@
 from trefoilstand.fleet import store
 from trefoilstand.gateway import settings
 from trefoilstand.http import errors
+from trefoilstand.http import models as http_models
 from trefoilstand.http import outbound_connection
 from trefoilstand.http import wire
 from trefoilstand.platform import values
@@ -21,6 +22,10 @@
 _GONE: typing.Final = 410
 _CONNECT_TIMEOUT_S: typing.Final = 0.5
 _MS_PER_S: typing.Final = 1000
+#: Number of times that the store came back from an older copy.
+_ERA_FIELD: typing.Final = b"store-era"
+#: Eras from this on do not fit messages of hosts.
+_ERA_LIMIT: typing.Final = 2**63
 #: Bound on the pages of one snapshot, in case the store always reports that
 #: another one follows.
 _MAX_SNAPSHOT_PAGES: typing.Final = 400
@@ -31,11 +36,13 @@
     """Hold one response of the store.
 
     :param items: items or change events, in the order received.
+    :param era: era of the store.
     :param revision: revision of the store at the response.
     :param is_truncated: whether another page follows.
     """
 
     items: tuple[models.Item, ...]
+    era: int
     revision: int
     is_truncated: bool
 
@@ -65,7 +72,7 @@
         :raises store.StoreError: no complete, valid response came in time.
         """
         items: dict[str, models.Item] = {}
-        revision = 0
+        era = revision = 0
         last_key = ""
         for _ in range(_MAX_SNAPSHOT_PAGES):
             query = {"prefix": ""}
@@ -74,7 +81,13 @@
             page = await self._fetch_page(
                 "/api/kv-range", query, fleet_const.READ_TIMEOUT_S, "items"
             )
-            revision = revision or page.revision
+            if not revision:
+                era, revision = page.era, page.revision
+            elif page.era != era:
+                raise store.StoreError(
+                    f"store {self._endpoint} was restored during a snapshot,"
+                    f" from era {era} to {page.era}"
+                )
             for item in page.items:
                 items[item.key] = item
                 last_key = item.key
@@ -85,6 +98,7 @@
             up_to_revision=revision,
             items=tuple(items.values()),
             is_snapshot=True,
+            era=era,
         )
 
     async def watch(self, after_revision: int, wait_s: float) -> models.Delta:
@@ -115,6 +129,7 @@
             after_revision=after_revision,
             up_to_revision=page.revision,
             items=tuple(latest_items.values()),
+            era=page.era,
         )
 
     def close(self) -> None:
@@ -164,7 +179,7 @@
                 f" expected {_OK}"
             )
         try:
-            return _decode_page(response.body, field)
+            return _decode_page(response.body, field, _decode_era(response))
         except values.MALFORMED_ERRORS as error:
             raise store.StoreError(
                 f"{path} of store {self._endpoint}: malformed content,"
@@ -182,11 +197,24 @@
         return self._connection
 
 
-def _decode_page(body: bytes, field: str) -> _Page:
+def _decode_era(response: http_models.Response) -> int:
+    """Return the era that a response states, 0 without a statement.
+
+    :param response: response of the store.
+    :raises ValueError: the statement is malformed.
+    """
+    era = int(response.find_field(_ERA_FIELD) or b"0")
+    if not 0 <= era < _ERA_LIMIT:
+        raise ValueError(f"the era must not be {era}")
+    return era
+
+
+def _decode_page(body: bytes, field: str, era: int) -> _Page:
     """Decode the body of a response.
 
     :param body: JSON document.
     :param field: field of the document that holds the items.
+    :param era: era of the store.
     :raises Exception: one of `values.MALFORMED_ERRORS`.
     """
     content = json.loads(body)
@@ -195,20 +223,22 @@
         raise TypeError(
             f"{field} must be a list and store-revision an integer"
         )
-    items = (_decode_item(raw) for raw in content[field])
+    items = (_decode_item(raw, era) for raw in content[field])
     return _Page(
         items=tuple(item for item in items if item is not None),
+        era=era,
         revision=revision,
         is_truncated=content.get("truncated") is True,
     )
 
 
-def _decode_item(raw: dict[str, typing.Any]) -> models.Item | None:
+def _decode_item(raw: dict[str, typing.Any], era: int) -> models.Item | None:
     """Decode an item of a snapshot page or an event of a watch.
 
     One malformed item must not make the others unreadable.
 
     :param raw: decoded JSON value.
+    :param era: era of the store.
     :returns: the item, None if its key or revision is malformed.
     """
     try:
@@ -228,7 +258,7 @@
             )
         )
         return None
-    return models.Item(key=key, revision=revision, value=value)
+    return models.Item(key=key, revision=revision, value=value, era=era)
 
 
 def _decode_value(text: str) -> bytes:
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -170,6 +170,15 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreRestored(Event):
+    """Record that the store came back from an older copy."""
+
+    previous_era: int
+    era: int
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SyncFailed(Event):
     """Record that state could not be fetched from a peer."""
