--- a/trefoilstand/fleet/codec.py
+++ b/trefoilstand/fleet/codec.py
@@ -49,7 +49,9 @@
                 era=max(message.era - item.eras_before, 0),
                 origin=models.Position(
                     era=item.origin_era, revision=item.origin_revision
-                ),
+                )
+                if item.origin_revision
+                else models.NO_POSITION,
             )
             for item in message.items
         ),
--- a/trefoilstand/fleet/replica.py
+++ b/trefoilstand/fleet/replica.py
@@ -113,17 +113,21 @@
                 is_snapshot=True,
                 era=self.era,
             )
+        # Called for many peers at each change, so no positions are built.
+        items = [
+            item
+            for item in self._items.values()
+            if item.revision > revision and item.era == self.era
+        ]
+        items += [
+            item
+            for item in reversed(self._removals.values())
+            if item.revision > revision and item.era == self.era
+        ]
         return models.Delta(
             after_revision=revision,
             up_to_revision=self.revision,
-            items=tuple(
-                item
-                for item in (
-                    *self._items.values(),
-                    *reversed(self._removals.values()),
-                )
-                if item.position > position
-            ),
+            items=tuple(items),
             era=self.era,
         )
 
--- a/trefoilstand/fleet/restoration.py
+++ b/trefoilstand/fleet/restoration.py
@@ -5,6 +5,7 @@
 written after the restoration, whatever its revision is.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -18,7 +19,9 @@
 
     def __init__(self) -> None:
         #: Hash of key and value by revision.
-        self._hashes: dict[int, int] = {}
+        self._hashes: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
 
     def record(self, delta: models.Delta) -> None:
         """Record the changes of a delta.
@@ -31,7 +34,7 @@
             if _is_from_store(item, delta.era):
                 self._hashes[item.revision] = _hash(item)
         while len(self._hashes) > const.MAX_LOGGED_CHANGES:
-            del self._hashes[next(iter(self._hashes))]
+            self._hashes.popitem(last=False)
 
     def clear(self) -> None:
         """Discard the changes of an era that has ended."""
