--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -173,6 +173,7 @@
 class _FixedConnection:
     """Connection on which each request gets the same body."""
 
+    received_bytes = 0
     is_reusable = True
 
     def __init__(self, body):
--- a/features/steps/restoration_reading_steps.py
+++ b/features/steps/restoration_reading_steps.py
@@ -199,6 +199,7 @@
 class _PagedConnection:
     """Connection to a store whose pages state different eras."""
 
+    received_bytes = 0
     is_reusable = True
 
     def __init__(self, *, eras):
--- a/features/support/heartbeat_fleet.py
+++ b/features/support/heartbeat_fleet.py
@@ -15,6 +15,7 @@
 from trefoilstand.fleet import state_fetcher
 from trefoilstand.fleet import topology
 from trefoilstand.fleet import transfer
+from trefoilstand.fleet import uploads
 from trefoilstand.peers import membership
 from trefoilstand.peers import models as peers_models
 
@@ -33,6 +34,10 @@
         self.domain = domain
         self.address = f"10.0.{number // 250}.{number % 250 + 1}:7000"
         self.is_down = False
+        self.link_free_s = 0.0
+        self.schedule = uploads.UploadSchedule(
+            bytes_per_s=net.link_bytes_per_s or 1.0
+        )
         self.members = membership.MemberTable(
             own=peers_models.Member(
                 peer_address=self.address,
@@ -55,6 +60,7 @@
             members=self.members,
             make_transfer=lambda: SimulatedTransfer(host=self),
             clock=net.clock,
+            random_source=random_source,
         )
         self.peers = exchange.PeerExchange(
             members=self.members,
@@ -79,10 +85,10 @@
         self.is_down = True
         await self.peers.stop()
 
-    def apply_store_change(self, revision):
+    def apply_store_change(self, revision, size_bytes=_ITEM_BYTES):
         """Apply a change as if read from the store and announce it."""
         item = models.Item(
-            key=f"k{revision}", revision=revision, value=b"x" * _ITEM_BYTES
+            key=f"k{revision}", revision=revision, value=b"x" * size_bytes
         )
         self.state.apply(
             models.Delta(
@@ -130,6 +136,8 @@
         source_host = net.hosts.get(address)
         if source_host is None or source_host.is_down:
             return None
+        if net.link_bytes_per_s is not None:
+            return await self._fetch_over_link(net, source_host)
         fetched = models.Transfer(
             delta=source_host.state.changes_since(self._host.state.position),
             members=(source_host.members.own, *source_host.members.members())
@@ -142,15 +150,54 @@
         net.count_message(source_host, self._host, size_bytes)
         return fetched
 
+    async def _fetch_over_link(self, net, source_host):
+        """Fetch while other transfers use the link of the same peer."""
+        fetched = models.Transfer(
+            delta=source_host.state.changes_since(self._host.state.position)
+        )
+        size_bytes = sum(
+            len(item.value or b"") for item in fetched.delta.items
+        )
+        now_s = net.loop.time()
+        if net.limits_uploads and not source_host.schedule.try_add(
+            self._host.address, size_bytes, now_s
+        ):
+            return models.Transfer(
+                delta=models.Delta(
+                    after_revision=0, up_to_revision=0, items=()
+                ),
+                is_busy=True,
+                holders=tuple(source_host.schedule.recent_receivers),
+            )
+        source_host.link_free_s = (
+            max(source_host.link_free_s, now_s)
+            + size_bytes / net.link_bytes_per_s
+        )
+        await asyncio.sleep(source_host.link_free_s - now_s)
+        return fetched
+
 
 class FleetNetwork:
     """Deliver datagrams with a delay and lose a share of them."""
 
-    def __init__(self, *, loop, hosts, domains, seed=1, loss=0.0):
+    def __init__(
+        self,
+        *,
+        loop,
+        hosts,
+        domains,
+        seed=1,
+        loss=0.0,
+        link_bytes_per_s=None,
+    ):
         self.seed = seed
         self.loop = loop
         self.clock = virtual_time.LoopClock(loop=loop)
         self.loss = loss
+        #: Rate of the link of each host, None for links without a limit.
+        self.link_bytes_per_s = link_bytes_per_s
+        #: Whether hosts turn transfers away that their link cannot carry.
+        self.limits_uploads = True
         #: Failure domains that exchange nothing with the others.
         self.cut_domains = set()
         self.cross_domain_bytes = 0
--- a/trefoilstand/fleet/exchange.py
+++ b/trefoilstand/fleet/exchange.py
@@ -219,7 +219,7 @@
         self._propagate(received, received.sender)
         if received.is_replica_behind:
             self._catch_up(address, received.position)
-        elif self._compares_members_with(received.sender):
+        elif self.view.takes_members_from(received.sender):
             self._compare_members(received, address)
 
     def _propagate(
@@ -249,22 +249,12 @@
             address,
             position,
             delay_s=delay_s,
+            find_holders=lambda: self._heartbeats.find_holders(
+                position, self.view.near_hosts
+            ),
             on_advanced=self._announce_fetched,
         )
 
-    def _compares_members_with(self, peer: peers_models.Member) -> bool:
-        """Return whether this host takes over the member list of a peer.
-
-        Hosts do so from the relays of their domain, and relays from those of
-        other domains.
-        """
-        view = self.view
-        if peer.failure_domain == self._members.own.failure_domain:
-            return peer.peer_address in view.near_relays
-        return view.is_relay and peer.peer_address in view.relays.get(
-            peer.failure_domain, ()
-        )
-
     def _compare_members(
         self, received: messages.HeartbeatResult, address: str
     ) -> None:
@@ -287,6 +277,10 @@
         if sender is not None:
             origin = self.view.classify_origin(sender)
         self.announce(origin)
+        if origin is not topology.Origin.FAR_HOST:
+            # The peer may be busy with transfers to others.
+            for near_host in self.view.sample_near_hosts(self._random):
+                self._send_heartbeat(near_host, wants_reply=False)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore a refused datagram; the reply timeout detects the loss."""
--- a/trefoilstand/fleet/heartbeat.py
+++ b/trefoilstand/fleet/heartbeat.py
@@ -1,5 +1,6 @@
 """Build heartbeats and apply received ones, without I/O."""
 
+import collections.abc
 import random
 
 import google.protobuf.message
@@ -181,6 +182,18 @@
                 has_new_limit = True
         return has_new_limit
 
+    def find_holders(
+        self,
+        position: models.Position,
+        peers: collections.abc.Iterable[str],
+    ) -> list[str]:
+        """Return the peers that are known to have a position."""
+        return [
+            peer
+            for peer in peers
+            if self._peer_positions.get(peer, models.NO_POSITION) >= position
+        ]
+
     def record_sent_revision(self, receiver: str) -> None:
         """Record that the current position was sent to a peer.
 
--- a/trefoilstand/fleet/messages.py
+++ b/trefoilstand/fleet/messages.py
@@ -1,6 +1,7 @@
 """Interface of the messages that hosts exchange by datagram."""
 
 import abc
+import collections.abc
 import dataclasses
 
 from trefoilstand import exceptions
@@ -81,6 +82,18 @@
         :raises MalformedMessageError: it cannot be decoded.
         """
 
+    @abc.abstractmethod
+    def find_holders(
+        self,
+        position: models.Position,
+        peers: collections.abc.Iterable[str],
+    ) -> list[str]:
+        """Return the peers that are known to have a position.
+
+        :param position: position of their replicas, or an earlier one.
+        :param peers: peer addresses to choose from.
+        """
+
     @abc.abstractmethod
     def record_sent_revision(self, receiver: str) -> None:
         """Record that the current position was sent to a peer.
--- a/trefoilstand/fleet/models.py
+++ b/trefoilstand/fleet/models.py
@@ -90,7 +90,12 @@
 
     :param delta: changes that the local replica lacks.
     :param members: entry hosts that the peer knows, if requested.
+    :param is_busy: whether the peer turned the request away, as its link is
+        in use.
+    :param holders: peers that it has sent its state to lately.
     """
 
     delta: Delta
     members: tuple[peers_models.Member, ...] = ()
+    is_busy: bool = False
+    holders: tuple[str, ...] = ()
--- a/trefoilstand/fleet/state_fetcher.py
+++ b/trefoilstand/fleet/state_fetcher.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections.abc
+import random
+import typing
 
 from trefoilstand.fleet import models
 from trefoilstand.fleet import replica
@@ -9,6 +11,11 @@
 from trefoilstand.peers import membership
 from trefoilstand.util import clock as clocks
 
+#: Peers that are asked one after the other while they are busy.
+_MAX_BUSY_PEERS: typing.Final = 40
+#: Delay before another one is asked.
+_BUSY_DELAY_S: typing.Final = 0.05
+
 
 class StateFetcher:
     """Fetch state from peers, one transfer at a time.
@@ -18,6 +25,7 @@
     :param make_transfer: creates the transfer client and server; called
         once, when first needed.
     :param clock: source of the time.
+    :param random_source: chooses among peers and jitters the intervals.
     :param prepare_transfer: loads what ``make_transfer`` needs; called in a
         thread before transfers are served, None without need.
     """
@@ -29,6 +37,7 @@
         members: membership.MemberTable,
         make_transfer: collections.abc.Callable[[], transfer.PeerTransfer],
         clock: clocks.Clock,
+        random_source: random.Random,
         prepare_transfer: collections.abc.Callable[[], object] | None = None,
     ) -> None:
         self._state = state
@@ -36,8 +45,9 @@
         self._make_transfer = make_transfer
         self._prepare_transfer = prepare_transfer
         self._clock = clock
+        self._random = random_source
         self._transfer: transfer.PeerTransfer | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._task: asyncio.Task[typing.Any] | None = None
         self._has_member_list = False
         self.transfer_count = 0
 
@@ -70,6 +80,7 @@
         position: models.Position,
         *,
         delay_s: float,
+        find_holders: collections.abc.Callable[[], list[str]],
         on_advanced: collections.abc.Callable[[str], None],
     ) -> None:
         """Fetch state from a peer unless a transfer is in progress.
@@ -78,13 +89,17 @@
         :param position: position that the peer is known to have; nothing is
             fetched if the replica reaches it during a delay.
         :param delay_s: time to wait for the state from another source.
+        :param find_holders: returns peers that have the position, to ask when
+            a peer is busy.
         :param on_advanced: called with the peer address if the replica has
             advanced.
         """
         if self.is_running:
             return
         self._task = asyncio.get_running_loop().create_task(
-            self._fetch_state(address, position, delay_s, on_advanced)
+            self._fetch_state(
+                address, position, delay_s, find_holders, on_advanced
+            )
         )
 
     def fetch_members(
@@ -111,29 +126,41 @@
         address: str,
         position: models.Position,
         delay_s: float,
+        find_holders: collections.abc.Callable[[], list[str]],
         on_advanced: collections.abc.Callable[[str], None],
     ) -> None:
         if delay_s:
             await asyncio.sleep(delay_s)
+        for _ in range(_MAX_BUSY_PEERS):
             if self._state.position >= position:
                 return
-        await self._fetch(address, on_advanced)
+            received = await self._fetch(address, on_advanced)
+            if received is None or not received.is_busy:
+                return
+            await asyncio.sleep(
+                _BUSY_DELAY_S * (0.75 + 0.5 * self._random.random())
+            )
+            holders = {*find_holders(), *received.holders}
+            holders.discard(self._members.own.peer_address)
+            address = self._random.choice(sorted(holders) or [address])
 
     async def _fetch(
         self, address: str, on_advanced: collections.abc.Callable[[str], None]
-    ) -> None:
+    ) -> models.Transfer | None:
+        """Fetch what a peer has; return None if that failed."""
         self.transfer_count += 1
         received = await self._get_transfer().fetch(
             address, wants_members=not self._has_member_list
         )
         if received is None:
-            return
+            return None
         now_s = self._clock.now_s()
         for member in received.members:
             self._members.apply(member, now_s)
             self._has_member_list = True
         if self._state.apply(received.delta):
             on_advanced(address)
+        return received
 
     def _get_transfer(self) -> transfer.PeerTransfer:
         if self._transfer is None:
--- a/trefoilstand/fleet/topology.py
+++ b/trefoilstand/fleet/topology.py
@@ -77,6 +77,18 @@
             return Origin.NEAR_RELAY
         return Origin.NEAR_HOST
 
+    def takes_members_from(self, peer: peers_models.Member) -> bool:
+        """Return whether this host takes over the member list of a peer.
+
+        Hosts do so from the relays of their domain, and relays from those of
+        other domains.
+        """
+        if peer.failure_domain == self.own.failure_domain:
+            return peer.peer_address in self.near_relays
+        return self.is_relay and peer.peer_address in self.relays.get(
+            peer.failure_domain, ()
+        )
+
     def choose_recipients(
         self, origin: Origin, random_source: random.Random
     ) -> list[str]:
@@ -114,15 +126,19 @@
         """
         if not self.is_relay:
             return [*self.near_relays] if origin is Origin.STORE else []
-        recipients = random_source.sample(
-            self.near_hosts, min(const.EAGER_FANOUT, len(self.near_hosts))
-        )
+        recipients = self.sample_near_hosts(random_source)
         if origin is not Origin.FAR_HOST:
             recipients += [
                 self.relays[domain][0] for domain in self.far_domains
             ]
         return recipients
 
+    def sample_near_hosts(self, random_source: random.Random) -> list[str]:
+        """Return some other hosts of the own domain."""
+        return random_source.sample(
+            self.near_hosts, min(const.EAGER_FANOUT, len(self.near_hosts))
+        )
+
     def relays_to_query(self) -> tuple[str, ...]:
         """Return the relays to query for newer state, none on a relay."""
         if self.is_relay:
--- a/trefoilstand/gateway/replication.py
+++ b/trefoilstand/gateway/replication.py
@@ -17,6 +17,7 @@
 from trefoilstand.fleet import store as stores
 from trefoilstand.fleet import topology
 from trefoilstand.fleet import transfer
+from trefoilstand.fleet import uploads
 from trefoilstand.gateway import pause_detector
 from trefoilstand.gateway import settings as gateway_settings
 from trefoilstand.gateway import target_quota
@@ -44,6 +45,8 @@
         clock: clocks.Clock,
     ) -> None:
         self._random = random_source
+        self._clock = clock
+        self._link_bytes_per_s = settings.link_bytes_per_s
         self.members = membership.MemberTable(
             own=peers_models.Member(
                 peer_address=str(settings.peer_endpoint),
@@ -76,6 +79,7 @@
             members=self.members,
             make_transfer=self._make_transfer,
             clock=clock,
+            random_source=random_source,
             prepare_transfer=_import_transfers,
         )
         self.peers = exchange.PeerExchange(
@@ -135,7 +139,14 @@
     def _make_transfer(self) -> transfer.PeerTransfer:
         from trefoilstand.fleet import sync
 
-        return sync.StateTransfer(state=self.replica, members=self.members)
+        return sync.StateTransfer(
+            state=self.replica,
+            members=self.members,
+            schedule=uploads.UploadSchedule(
+                bytes_per_s=self._link_bytes_per_s
+            ),
+            clock=self._clock,
+        )
 
 
 # The libraries of the peers' protocol take half of the time of all imports.
--- a/trefoilstand/http/input_scheduler.py
+++ b/trefoilstand/http/input_scheduler.py
@@ -67,6 +67,8 @@
         self._transport: asyncio.Transport | None = None
         self._unparsed_input = memoryview(b"")
         self._is_fragmented = False
+        #: Bytes received since the connection was opened.
+        self.received_bytes = 0
         #: Parts that the parser has completed in the current slice.
         self._slice_parts = 0
 
@@ -95,6 +97,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a small amount of input, or schedule it."""
+        self.received_bytes += len(data)
         if self.has_unparsed_input:
             self._unparsed_input = memoryview(
                 bytes(self._unparsed_input) + data
--- a/trefoilstand/platform/settings.py
+++ b/trefoilstand/platform/settings.py
@@ -21,6 +21,9 @@
 #: Interval of the targets' heartbeats assumed where the file names none.
 _DEFAULT_HEARTBEAT: typing.Final = "1500ms"
 _BYTES_PER_MB: typing.Final = 1024 * 1024
+#: Rate of the link assumed where the file names none.
+_DEFAULT_LINK_MBPS: typing.Final = 1000.0
+_BYTES_PER_MEGABIT: typing.Final = 125_000
 
 
 class PlatformSettingsError(exceptions.TrefoilstandError):
@@ -84,6 +87,10 @@
             (raw.get("limits") or {}).get("memory-mb", _DEFAULT_MEMORY_MB)
         )
         * _BYTES_PER_MB,
+        link_bytes_per_s=float(
+            (raw.get("limits") or {}).get("link-mbps") or _DEFAULT_LINK_MBPS
+        )
+        * _BYTES_PER_MEGABIT,
     )
 
 
--- a/trefoilstand/platform/store.py
+++ b/trefoilstand/platform/store.py
@@ -22,6 +22,10 @@
 _GONE: typing.Final = 410
 _CONNECT_TIMEOUT_S: typing.Final = 0.5
 _MS_PER_S: typing.Final = 1000
+#: A response may take longer than its timeout while bytes of it arrive at
+#: least this often, up to this time in all.
+_PROGRESS_INTERVAL_S: typing.Final = 0.25
+_MAX_RESPONSE_S: typing.Final = 6.0
 #: Number of times that the store came back from an older copy.
 _ERA_FIELD: typing.Final = b"store-era"
 #: Eras from this on do not fit messages of hosts.
@@ -160,9 +164,11 @@
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect()
-                response = await connection.send(
-                    request_bytes, matches=lambda _: True
-                )
+            response = await _await_response(
+                connection,
+                connection.send(request_bytes, matches=lambda _: True),
+                timeout_s,
+            )
         except (TimeoutError, errors.LinkError) as error:
             self.close()
             raise store.StoreError(
@@ -209,6 +215,39 @@
     return era
 
 
+async def _await_response(
+    connection: outbound_connection.OutboundConnection,
+    pending: asyncio.Future[http_models.Response],
+    timeout_s: float,
+) -> http_models.Response:
+    """Wait for a response, longer while it is being received.
+
+    A large value takes longer than the timeout over a slow link.
+
+    :param connection: connection that receives it.
+    :param pending: future of the response, cancelled at the timeout.
+    :param timeout_s: time limit without progress at its end.
+    :raises TimeoutError: no complete response came in time.
+    :raises errors.LinkError: the connection failed.
+    """
+    remaining_s = _MAX_RESPONSE_S
+    received_bytes = connection.received_bytes
+    wait_s = timeout_s
+    try:
+        while remaining_s > 0:
+            done, _ = await asyncio.wait({pending}, timeout=wait_s)
+            if done:
+                return pending.result()
+            if connection.received_bytes == received_bytes:
+                break
+            received_bytes = connection.received_bytes
+            remaining_s -= wait_s
+            wait_s = min(_PROGRESS_INTERVAL_S, remaining_s)
+        raise TimeoutError
+    finally:
+        pending.cancel()
+
+
 def _decode_page(body: bytes, field: str, era: int) -> _Page:
     """Decode the body of a response.
 
