--- a/trefoilstand/experiments/gateway_load.py
+++ b/trefoilstand/experiments/gateway_load.py
@@ -13,7 +13,9 @@
 from trefoilstand.experiments import virtual_time
 from trefoilstand.fleet import rate_limits
 from trefoilstand.gateway import assembly
+from trefoilstand.gateway import metrics_page
 from trefoilstand.gateway import models
+from trefoilstand.gateway import options
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import routing
@@ -93,6 +95,7 @@
         simulated_targets: dict[str, gateway_model.SimulatedTarget],
         predictor: prediction.Predictor,
         clock: virtual_time.LoopClock,
+        hedging: options.HedgingOptions | None,
     ) -> None:
         own_domain = f"d{number % scenario.domains}"
         random_source = random.Random(number)
@@ -126,7 +129,7 @@
             0.0,
         )
         protocol = gateway_model.SimulatedTargetProtocol()
-        counts = metric_store.MetricStore()
+        self.counts = counts = metric_store.MetricStore()
         self.forwarder = assembly.build_forwarder(
             gateway_state=self.state,
             connections=connections,
@@ -148,6 +151,7 @@
             random_source=random_source,
             own_domain=own_domain,
         )
+        self.forwarder.hedger.set_limits(hedging)
 
 
 def _make_route(scenario: gateway_model.Scenario) -> models.Route:
@@ -197,6 +201,7 @@
         self._hosts = hosts
         self._random_source = random.Random(seed)
         self.result_counts: collections.Counter[str] = collections.Counter()
+        self.latencies_ms: list[float] = []
 
     async def send_all(self) -> None:
         """Send the requests of a run and wait for their results."""
@@ -224,9 +229,10 @@
                 min(float(retry_after_s), remaining_s * _MAX_RETRY_WAIT_SHARE)
             )
             response = await self._send_request(caller_deadline_s)
-        self.result_counts[
-            self._classify_result(response, loop.time() - started_s)
-        ] += 1
+        elapsed_s = loop.time() - started_s
+        self.result_counts[self._classify_result(response, elapsed_s)] += 1
+        if response is not None and response.status == 200:
+            self.latencies_ms.append(elapsed_s * _MS_PER_S)
 
     async def _send_request(
         self, caller_deadline_s: float
@@ -259,13 +265,17 @@
 
 
 def simulate(
-    scenario: gateway_model.Scenario, policy: str, seed: int
+    scenario: gateway_model.Scenario,
+    policy: str,
+    seed: int,
+    hedging: options.HedgingOptions | None = None,
 ) -> gateway_model.LoadResult:
     """Simulate one run.
 
     :param scenario: load pattern.
     :param policy: key of `POLICIES`.
     :param seed: seed of callers and targets.
+    :param hedging: limit of the hedges, None without one.
     :returns: results as callers saw them.
     """
 
@@ -283,6 +293,7 @@
                 simulated_targets=simulated_targets,
                 predictor=POLICIES[policy](),
                 clock=virtual_time.LoopClock(loop=loop),
+                hedging=hedging,
             )
             for number in range(scenario.hosts)
         ]
@@ -295,6 +306,13 @@
             refused=callers.result_counts["refused"],
             lost=callers.result_counts["lost"],
             probes=sum(host.prober.sent for host in hosts),
+            repeated_sends=sum(
+                host.counts.counts[
+                    metrics_page.REPEATED_SENDS, (("service", _SERVICE),)
+                ]
+                for host in hosts
+            ),
+            latencies_ms=tuple(callers.latencies_ms),
         )
 
     result: gateway_model.LoadResult = virtual_time.run(run)
--- a/trefoilstand/experiments/gateway_model.py
+++ b/trefoilstand/experiments/gateway_model.py
@@ -77,6 +77,10 @@
     :param refused: rejected, also after the retry.
     :param lost: not answered by the deadline, or with a status of 504 or more.
     :param probes: health checks sent.
+    :param repeated_sends: sends beyond the first of a request, hedges
+        included.
+    :param latencies_ms: time until each response below status 500, from the
+        first send of its caller.
     """
 
     requests: int
@@ -85,6 +89,8 @@
     refused: int
     lost: int
     probes: int
+    repeated_sends: int = 0
+    latencies_ms: tuple[float, ...] = ()
 
     @property
     def in_time_share(self) -> float:
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -306,7 +306,7 @@
         """
         self._settings = settings
         self.fleet.peers.set_seeds(settings.seeds)
-        self.forwarder.set_retry_limits(_make_retry_limits(settings))
+        self.forwarder.repeats.set_limits(_make_retry_limits(settings))
 
     def _apply_items(self, items: list[fleet_models.Item]) -> None:
         self.state.apply_items(items)
--- a/trefoilstand/gateway/assembly.py
+++ b/trefoilstand/gateway/assembly.py
@@ -7,10 +7,12 @@
 from trefoilstand.fleet import rate_limits
 from trefoilstand.gateway import candidates
 from trefoilstand.gateway import forwarding
+from trefoilstand.gateway import hedger
 from trefoilstand.gateway import limit_reader
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import probing
+from trefoilstand.gateway import repeats
 from trefoilstand.gateway import scheduling
 from trefoilstand.gateway import sending
 from trefoilstand.gateway import state
@@ -112,20 +114,33 @@
         clock=clock,
         random_source=random_source,
     )
+    sender = sending.Sender(
+        table=gateway_state.targets,
+        scheduler=scheduler,
+        connections=connections,
+        protocol=protocol,
+        predictor=predictor,
+        limits=limits.reader,
+        quota=limits.quota,
+        counts=counts,
+        clock=clock,
+    )
+    repeat_limiter = repeats.RepeatLimiter(
+        gateway_state=gateway_state, clock=clock
+    )
     return forwarding.Forwarder(
         gateway_state=gateway_state,
         scheduler=scheduler,
-        sender=sending.Sender(
-            table=gateway_state.targets,
+        sender=sender,
+        hedges=hedger.Hedger(
             scheduler=scheduler,
-            connections=connections,
-            protocol=protocol,
+            sender=sender,
+            repeats=repeat_limiter,
             predictor=predictor,
-            limits=limits.reader,
-            quota=limits.quota,
             counts=counts,
             clock=clock,
         ),
+        repeat_limiter=repeat_limiter,
         protocol=protocol,
         predictor=predictor,
         counts=counts,
--- a/trefoilstand/gateway/calls.py
+++ b/trefoilstand/gateway/calls.py
@@ -16,12 +16,16 @@
     :param target_id: target it was sent to, empty if it was not sent.
     :param response: response made by the target itself, if any.
     :param refusal: why the attempt was not sent, None if it was.
+    :param is_hedge: whether it was a hedge within the operators' limit.
+    :param is_abandoned: whether it was a hedge that was not sent.
     """
 
     outcome: models.Outcome
     target_id: str = ""
     response: http_models.Response | None = None
     refusal: models.Refusal | None = None
+    is_hedge: bool = False
+    is_abandoned: bool = False
 
     @property
     def is_known_not_executed(self) -> bool:
--- a/trefoilstand/gateway/candidates.py
+++ b/trefoilstand/gateway/candidates.py
@@ -83,7 +83,8 @@
         usable = [
             target
             for target in _without_ejected(unlimited, now_s)
-            if not self._is_known_unacceptable(request, target, now_s)
+            if not request.rules_out(target, now_s)
+            and not self._is_known_unacceptable(request, target, now_s)
         ]
         near = self._sample(
             [target for target in usable if self.is_near(target)]
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -7,11 +7,13 @@
 from trefoilstand.gateway import caller_retries
 from trefoilstand.gateway import calls
 from trefoilstand.gateway import const
+from trefoilstand.gateway import hedger
+from trefoilstand.gateway import hedging
 from trefoilstand.gateway import metrics_page
 from trefoilstand.gateway import models
 from trefoilstand.gateway import prediction
+from trefoilstand.gateway import repeats
 from trefoilstand.gateway import responses
-from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import scheduling
 from trefoilstand.gateway import sending
 from trefoilstand.gateway import state
@@ -34,6 +36,8 @@
     :param gateway_state: configuration and targets in force.
     :param scheduler: chooses a target for each attempt, or queues it.
     :param sender: sends the attempt to the chosen target.
+    :param hedges: starts hedges of slow requests.
+    :param repeat_limiter: limits retries and hedges.
     :param protocol: header fields shared with callers and targets.
     :param predictor: predicts how long requests take.
     :param counts: metrics of requests, retries and latencies.
@@ -47,6 +51,8 @@
         gateway_state: state.GatewayState,
         scheduler: scheduling.RequestScheduler,
         sender: sending.Sender,
+        hedges: hedger.Hedger,
+        repeat_limiter: repeats.RepeatLimiter,
         protocol: target_protocol.TargetProtocol,
         predictor: prediction.Predictor,
         counts: metric_store.MetricStore,
@@ -56,27 +62,19 @@
         self._state = gateway_state
         self._scheduler = scheduler
         self._sender = sender
+        self.hedger = hedges
+        self.repeats = repeat_limiter
         self._protocol = protocol
         self._predictor = predictor
         self._counts = counts
         self._clock = clock
         self._random = random_source
-        self._budgets: dict[str, retry_budget.FleetRetryBudget] = {}
         self._caller_retries = caller_retries.CallerRetryDetector()
         self._deadline_timers: set[asyncio.Timeout] = set()
         #: Monotonic time by which a stopping host ends all requests.
         self._latest_end_s = math.inf
         self.in_progress = 0
 
-    def set_retry_limits(self, limits: retry_budget.RetryBudgetLimits) -> None:
-        """Change the retry budget of all services.
-
-        :param terms: budget of each service over the whole fleet.
-        """
-        self._state.retry_limits = limits
-        for budget in self._budgets.values():
-            budget.set_limits(limits)
-
     def end_by(self, latest_end_s: float) -> None:
         """End all requests before the process stops.
 
@@ -163,14 +161,18 @@
         self, call: calls.Call
     ) -> handling.CallerResponse:
         """Attempt a request until it succeeds or its deadline passes."""
-        self._budget_for(call.service).record_request(self._clock.now_s())
+        policy = self.hedger.policy
+        self.repeats.record_request(call.service)
+        policy.record_request(call.service)
         attempt_tasks: list[asyncio.Task[calls.AttemptResult]] = []
         timer = asyncio.timeout_at(self._to_loop_time(call.deadline_s))
         self._deadline_timers.add(timer)
         try:
             async with timer:
-                return await self._run_attempts(call, attempt_tasks)
+                return await self._run_attempts(call, attempt_tasks, policy)
         except TimeoutError:
+            if not call.last_outcome:
+                policy.record_duration(call, is_answered=False)
             call.last_outcome = models.Outcome.TIMED_OUT
             call.final_reason = models.FinalReason.TIME_SPENT
             return self._failure_response(call)
@@ -183,42 +185,59 @@
         self,
         call: calls.Call,
         attempt_tasks: list[asyncio.Task[calls.AttemptResult]],
+        policy: hedging.HedgePolicy,
     ) -> handling.CallerResponse:
         attempt_tasks.append(self._start_attempt(call))
         may_hedge = call.route.is_idempotent
+        last_result: calls.AttemptResult | None = None
         while attempt_tasks:
             # Recomputed after each wait, since the first attempt may have
             # waited in the queue and been sent only now.
-            timeout_s = self._hedge_delay_s(call) if may_hedge else None
+            timeout_s = policy.delay_s(call) if may_hedge else None
             done, _ = await asyncio.wait(
                 attempt_tasks,
                 timeout=timeout_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not done and not self._is_hedge_due(call):
+            if not done and not policy.is_due(call):
                 continue
             if not done:
                 may_hedge = False
-                if self._has_queued_requests(call):
-                    continue
-                if self._try_spend_retry(call, share=const.HEDGE_BUDGET_SHARE):
-                    attempt_tasks.append(self._start_attempt(call))
+                hedge = self.hedger.start(call, policy, self._start_attempt)
+                if hedge is not None:
+                    attempt_tasks.append(hedge)
                 continue
             for task in [item for item in attempt_tasks if item in done]:
                 attempt_tasks.remove(task)
                 result = task.result()
                 if result.is_success and result.response is not None:
-                    call.last_outcome = result.outcome
-                    call.final_reason = ""
+                    self._record_success(call, result, policy)
                     return responses.forward_response(result.response)
-                call.record_unsuccessful(result)
-            if not attempt_tasks and self._should_retry(call, result):
+                if not result.is_abandoned:
+                    call.record_unsuccessful(result)
+                    last_result = result
+            if (
+                not attempt_tasks
+                and last_result is not None
+                and self._should_retry(call, last_result)
+            ):
                 attempt_tasks.append(self._start_attempt(call))
         return self._failure_response(call)
 
-    def _has_queued_requests(self, call: calls.Call) -> bool:
-        """Return whether requests are queued that a hedge would delay."""
-        return len(self._scheduler.queue_for(call.service)) > 0
+    def _record_success(
+        self,
+        call: calls.Call,
+        result: calls.AttemptResult,
+        policy: hedging.HedgePolicy,
+    ) -> None:
+        if not call.last_outcome:
+            policy.record_duration(call, is_answered=True)
+        call.last_outcome = result.outcome
+        call.final_reason = ""
+        if result.is_hedge:
+            self._counts.increment(
+                metrics_page.HEDGES_WON, service=call.service
+            )
 
     def _should_retry(
         self, call: calls.Call, result: calls.AttemptResult
@@ -228,54 +247,15 @@
         if not (result.is_known_not_executed or call.route.is_idempotent):
             call.final_reason = models.FinalReason.NOT_IDEMPOTENT
             return False
-        return self._try_spend_retry(call, share=1.0)
-
-    def _try_spend_retry(self, call: calls.Call, *, share: float) -> bool:
-        """Spend one retry or hedge, if the call and the budget allow it.
-
-        :param call: request to send again; its ``final_reason`` is set if it
-            may not be.
-        :param share: part of the retry budget that this kind may use.
-        :returns: whether the request may be sent again.
-        """
-        now_s = self._clock.now_s()
-        if call.attempts >= call.route.max_attempts:
-            call.final_reason = models.FinalReason.ATTEMPTS_SPENT
-            return False
-        if call.deadline_s - now_s < const.MIN_ATTEMPT_S:
-            call.final_reason = models.FinalReason.TIME_SPENT
-            return False
-        budget = self._budget_for(call.service)
-        if not budget.try_spend(now_s, share=share):
-            call.final_reason = models.FinalReason.RETRY_BUDGET_SPENT
-            return False
-        self._counts.increment(
-            metrics_page.REPEATED_SENDS, service=call.service
-        )
-        return True
-
-    def _hedge_delay_s(self, call: calls.Call) -> float:
-        """Return the time until a hedge is due, in seconds.
-
-        A hedge is sent as late as it can still meet the objective, but not
-        before the first attempt is clearly slower than predicted.  While the
-        first attempt is not sent, this is the earliest time to check again.
-        """
-        now_s = self._clock.now_s()
-        work_s = self._predictor.processing_time_s(call.route)
-        latest_s = call.due_s - work_s * const.HEDGE_FACTOR
-        if not call.sent_s:
-            return max(latest_s - now_s, const.MIN_HEDGE_CHECK_S)
-        clearly_slow_s = call.sent_s + call.predicted_s * const.HEDGE_FACTOR
-        return max(latest_s, clearly_slow_s) - now_s
-
-    def _is_hedge_due(self, call: calls.Call) -> bool:
-        """Return whether the first attempt was sent long enough ago."""
-        return call.sent_s > 0.0 and self._hedge_delay_s(call) <= 0.0
+        return self.repeats.try_spend(call, share=1.0)
 
     def _start_attempt(
         self, call: calls.Call
     ) -> asyncio.Task[calls.AttemptResult]:
+        if call.attempts:
+            self._counts.increment(
+                metrics_page.REPEATED_SENDS, service=call.service
+            )
         call.attempts += 1
         return asyncio.get_running_loop().create_task(self._run_attempt(call))
 
@@ -334,15 +314,6 @@
         )
         return response
 
-    def _budget_for(self, service: str) -> retry_budget.FleetRetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = retry_budget.FleetRetryBudget(
-                limits=self._state.retry_limits, hosts=self._state.hosts
-            )
-            self._budgets[service] = budget
-        return budget
-
     def _request_id(self, request: http_models.Request) -> str:
         request_id = request.find_field(self._protocol.names.request_id) or b""
         return request_id.decode("latin-1")
--- a/trefoilstand/gateway/metrics_page.py
+++ b/trefoilstand/gateway/metrics_page.py
@@ -12,12 +12,18 @@
 REQUEST_LATENCY: typing.Final = "trefoilstand_request_latency_ms"
 REPEATED_SENDS: typing.Final = "trefoilstand_repeated_sends_total"
 ATTEMPTS: typing.Final = "trefoilstand_attempt_outcomes_total"
+HEDGES_SENT: typing.Final = "trefoilstand_hedges_sent_total"
+HEDGES_WON: typing.Final = "trefoilstand_hedges_won_total"
+HEDGES_CANCELLED: typing.Final = "trefoilstand_hedges_cancelled_total"
 LIMITED_MESSAGES: typing.Final = "trefoilstand_limited_target_messages_total"
 
 _HELP: typing.Final = {
     REQUESTS: "Requests by service, status and outcome.",
     REQUEST_LATENCY: "Time from the first byte to the answer, by service.",
     REPEATED_SENDS: "Sends beyond the first of a request, by service.",
+    HEDGES_SENT: "Hedges sent within the operators' limit, by service.",
+    HEDGES_WON: "Hedges whose response was returned, by service.",
+    HEDGES_CANCELLED: "Hedges cancelled before their response, by service.",
     LIMITED_MESSAGES: "Requests and probes sent to targets with a limit.",
     ATTEMPTS: "Ends of attempts at targets, by service and outcome.",
 }
--- a/trefoilstand/gateway/placements.py
+++ b/trefoilstand/gateway/placements.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 
+from trefoilstand.gateway import const
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
@@ -38,6 +39,8 @@
     :param due_s: monotonic time up to which a response meets the objective.
     :param latest_s: monotonic time after which nobody waits for a response.
     :param is_repeated: whether an earlier search found no target.
+    :param is_hedge: whether a first attempt is running, so that only a
+        target that is known to be free is of use.
     """
 
     service: str
@@ -46,6 +49,18 @@
     due_s: float
     latest_s: float
     is_repeated: bool = False
+    is_hedge: bool = False
+
+    def rules_out(self, target: targets.Target, now_s: float) -> bool:
+        """Return whether a target may not be used, whatever its load.
+
+        Hedges are extra work, which cold and failing targets are spared.
+        """
+        return self.is_hedge and (
+            target.is_warming(now_s)
+            or target.ejected_until_s > now_s
+            or target.failures > 0
+        )
 
     def accepts(
         self,
@@ -60,6 +75,10 @@
         targets predicted to finish it within one objective, with capacity
         for a further request.
         """
+        if self.rules_out(target, now_s) or (
+            self.is_hedge and not _is_load_recent(target, now_s)
+        ):
+            return False
         if not predictor.has_capacity(target, now_s):
             return False
         finish_s = now_s + predictor.predict_s(target, self.route, now_s)
@@ -76,6 +95,15 @@
         return now_s + predictor.processing_time_s(self.route) > self.due_s
 
 
+def _is_load_recent(target: targets.Target, now_s: float) -> bool:
+    """Return whether the load report of a target is as good as a probe."""
+    report = target.report
+    return (
+        report is not None
+        and now_s - report.observed_s <= const.REPROBE_DELAY_S
+    )
+
+
 def make_placement(
     target: targets.Target,
     connection: pool.TargetConnection,
--- a/trefoilstand/gateway/retry_budget.py
+++ b/trefoilstand/gateway/retry_budget.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import typing
 
@@ -136,6 +137,15 @@
         self._retries.append(now_s)
         return True
 
+    def refund(self, spent_s: float) -> None:
+        """Return a retry that was not sent.
+
+        :param spent_s: monotonic time at which it was spent.
+        """
+        # It may have left the window since.
+        with contextlib.suppress(ValueError):
+            self._retries.remove(spent_s)
+
     def _expire(self, now_s: float) -> None:
         oldest_s = now_s - self._limits.window_s
         for times in (self._requests, self._retries):
--- a/trefoilstand/gateway/scheduling.py
+++ b/trefoilstand/gateway/scheduling.py
@@ -87,6 +87,32 @@
                 return selected
         return await self._wait_for_capacity(request, queue)
 
+    async def find_free(self, call: calls.Call) -> placements.Placement | None:
+        """Return a placement for a hedge, without queueing.
+
+        :param call: request to hedge.
+        :returns: None if no target is known to be free or requests wait for
+            one.
+        """
+        selected = await self._selector.select(
+            placements.SelectionRequest(
+                service=call.service,
+                route=call.route,
+                excluded=call.tried_targets.keys(),
+                due_s=call.due_s,
+                latest_s=call.deadline_s,
+                # First attempts go before hedges when probes are short.
+                is_repeated=True,
+                is_hedge=True,
+            )
+        )
+        if not isinstance(selected, placements.Placement):
+            return None
+        if len(self.queue_for(call.service)):
+            self.release(call.service, selected)
+            return None
+        return selected
+
     def release(self, service: str, placement: placements.Placement) -> None:
         """Offer a free target to a queued request or release its connection.
 
--- a/trefoilstand/gateway/target_selection.py
+++ b/trefoilstand/gateway/target_selection.py
@@ -285,6 +285,8 @@
         for result in results:
             if not request.accepts(result.target, self._predictor, now_s):
                 continue
+            if request.is_hedge and not result.is_healthy:
+                continue
             cost = self._predictor.cost(result.target, request.route, now_s)
             if not self._finder.is_near(result.target):
                 cost += const.CROSS_DOMAIN_COST
