--- a/trefoilstand/experiments/gateway_model.py
+++ b/trefoilstand/experiments/gateway_model.py
@@ -25,6 +25,8 @@
 #: Work times are multiplied by a lognormal factor with a mean of one.
 _WORK_SIGMA: typing.Final = 0.3
 _WORK_MU: typing.Final = -0.045
+#: Factor on the work time of a straggler.
+_STRAGGLER_FACTOR: typing.Final = 7.0
 #: Time that a target takes to answer a health check.
 _HEALTH_CHECK_S: typing.Final = 0.001
 #: Time from the removal of a target's entry to its last new request.
@@ -44,6 +46,8 @@
     :param noise_share: share of noise periods in which a target is slow.
     :param noise_slowdown: factor on the work time in such a period.
     :param work_s: mean work time without slowdowns.
+    :param straggler_share: share of requests with much more work, which no
+        load report announces.
     :param objective_s: latency that callers aim at.
     :param deadline_s: time that callers wait for a response.
     :param rate_per_s: requests of all callers a second.
@@ -60,6 +64,7 @@
     noise_share: float = 0.35
     noise_slowdown: float = 7.0
     work_s: float = 0.16
+    straggler_share: float = 0.0
     objective_s: float = 0.4
     deadline_s: float = 1.2
     rate_per_s: float = 60.0
@@ -227,6 +232,7 @@
     :param one_way_s: network latency in one direction.
     :param mean_work_s: mean work time without slowdowns.
     :param random_source: source of the work times.
+    :param straggler_share: share of requests with much more work.
     """
 
     def __init__(
@@ -236,11 +242,13 @@
         one_way_s: float,
         mean_work_s: float,
         random_source: random.Random,
+        straggler_share: float = 0.0,
     ) -> None:
         self._target = target
         self._one_way_s = one_way_s
         self._mean_work_s = mean_work_s
         self._random_source = random_source
+        self._straggler_share = straggler_share
 
     @property
     def is_reusable(self) -> bool:
@@ -260,6 +268,12 @@
     async def _run(self) -> http_models.Response:
         await asyncio.sleep(self._one_way_s)
         work_factor = self._random_source.lognormvariate(_WORK_MU, _WORK_SIGMA)
+        # Other load patterns draw the same random numbers as without it.
+        if (
+            self._straggler_share
+            and self._random_source.random() < self._straggler_share
+        ):
+            work_factor *= _STRAGGLER_FACTOR
         await self._target.run_request(self._mean_work_s * work_factor)
         report = self._target.report(asyncio.get_running_loop().time())
         await asyncio.sleep(self._one_way_s)
@@ -306,6 +320,7 @@
             one_way_s=self.one_way_s(target),
             mean_work_s=self._scenario.work_s,
             random_source=self._random_source,
+            straggler_share=self._scenario.straggler_share,
         )
 
     def release(
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -11,6 +11,7 @@
 from trefoilstand.gateway import hedging
 from trefoilstand.gateway import metrics_page
 from trefoilstand.gateway import models
+from trefoilstand.gateway import options
 from trefoilstand.gateway import prediction
 from trefoilstand.gateway import repeats
 from trefoilstand.gateway import responses
@@ -75,6 +76,13 @@
         self._latest_end_s = math.inf
         self.in_progress = 0
 
+    def apply_options(self, applied: options.Options) -> None:
+        """Put the operators' options in force for new requests.
+
+        :param applied: options of a valid file.
+        """
+        self.hedger.set_limits(applied.hedging)
+
     def end_by(self, latest_end_s: float) -> None:
         """End all requests before the process stops.
 
--- a/trefoilstand/gateway/hedging.py
+++ b/trefoilstand/gateway/hedging.py
@@ -54,15 +54,14 @@
             return None
         return self._sorted[math.ceil(count * quantile) - 1]
 
-    def median_above_s(self, elapsed_s: float) -> float | None:
-        """Return the median of the longer durations, None if there are none.
+    def mean_above_s(self, elapsed_s: float) -> float | None:
+        """Return the mean of the longer durations, None if there are none.
 
         :param elapsed_s: seconds that the durations must exceed.
         """
         first = bisect.bisect_right(self._sorted, elapsed_s)
-        if first == len(self._sorted):
-            return None
-        return self._sorted[(first + len(self._sorted)) // 2]
+        longer = self._sorted[first:]
+        return sum(longer) / len(longer) if longer else None
 
 
 class HedgeBudget:
@@ -344,9 +343,7 @@
         first_s: float | None = call.predicted_s
         if elapsed_s >= call.predicted_s:
             durations = self._durations.get(call.route.name)
-            first_s = (
-                durations.median_above_s(elapsed_s) if durations else None
-            )
+            first_s = durations.mean_above_s(elapsed_s) if durations else None
         if first_s is None:
             first_s = 2 * elapsed_s
         return elapsed_s + predicted_s < first_s
--- a/trefoilstand/platform/daemon.py
+++ b/trefoilstand/platform/daemon.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from trefoilstand.gateway import application
+from trefoilstand.gateway import options
 from trefoilstand.helpers import supervision
 from trefoilstand.platform import decoder
 from trefoilstand.platform import pages
@@ -22,6 +23,8 @@
 from trefoilstand.telemetry import stream
 
 _SETTINGS_VARIABLE: typing.Final = "TREFOILSTAND_SETTINGS"
+#: Path of the options file; without it there are no options.
+_OPTIONS_VARIABLE: typing.Final = "TREFOILSTAND_OPTIONS"
 _EXIT_BAD_SETTINGS: typing.Final = 2
 #: Interval between checks of the settings file, which may change without
 #: a signal.
@@ -33,13 +36,20 @@
 
     :param path: path of the settings file.
     :param gateway: gateway that applies the changed settings.
+    :param options_file: read again along with the settings, None without
+        options.
     """
 
     def __init__(
-        self, *, path: pathlib.Path, gateway: application.Gateway
+        self,
+        *,
+        path: pathlib.Path,
+        gateway: application.Gateway,
+        options_file: options.OptionsFile | None = None,
     ) -> None:
         self._path = path
         self._gateway = gateway
+        self._options_file = options_file
         self._applied_text = path.read_text(encoding="utf-8")
 
     async def run(self) -> None:
@@ -50,18 +60,26 @@
         await asyncio.sleep(_SETTINGS_CHECK_INTERVAL_S)
         self.reload("file changed")
 
-    def reload(self, cause: str) -> None:
+    def handle_signal(self) -> None:
+        """Read the settings and the options again on SIGHUP."""
+        is_changed = self.reload("signal")
+        # A change has read the options already.
+        if self._options_file is not None and not is_changed:
+            self._options_file.reload("signal")
+
+    def reload(self, cause: str) -> bool:
         """Apply the settings if the file has changed and is valid.
 
         An unreadable or invalid file is logged, and the settings in force
         remain.
 
         :param cause: reason of the check, as logged.
+        :returns: whether changed settings, and the options, were applied.
         """
         try:
             text = self._path.read_text(encoding="utf-8")
             if text == self._applied_text:
-                return
+                return False
             self._gateway.update_settings(settings.parse_settings(text))
         except (OSError, settings.PlatformSettingsError) as error:
             events.warning(
@@ -71,15 +89,21 @@
                     detail=str(error),
                 )
             )
-            return
+            return False
         self._applied_text = text
         events.info(events.SettingsReloaded(cause=cause, is_changed=True))
+        if self._options_file is not None:
+            self._options_file.reload(cause)
+        return True
 
 
-async def run(path: pathlib.Path) -> None:
+async def run(
+    path: pathlib.Path, options_path: pathlib.Path | None = None
+) -> None:
     """Run the gateway until SIGTERM or SIGINT, and let it drain.
 
     :param path: path of the settings file.
+    :param options_path: path of the options file, None without options.
     :raises settings.PlatformSettingsError: the file is not valid.
     :raises OSError: the file cannot be read or an address cannot be
         listened on.
@@ -109,11 +133,19 @@
                 lifetime_s=gateway_settings.answer_lifetime_s,
             ),
         )
-    settings_watcher = SettingsWatcher(path=path, gateway=gateway)
+    options_file: options.OptionsFile | None = None
+    if options_path is not None:
+        options_file = options.OptionsFile(
+            path=options_path, apply=gateway.forwarder.apply_options
+        )
+        options_file.reload("start")
+    settings_watcher = SettingsWatcher(
+        path=path, gateway=gateway, options_file=options_file
+    )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, gateway.request_leave)
     loop.add_signal_handler(signal.SIGINT, gateway.request_leave)
-    loop.add_signal_handler(signal.SIGHUP, settings_watcher.reload, "signal")
+    loop.add_signal_handler(signal.SIGHUP, settings_watcher.handle_signal)
     tasks = [
         loop.create_task(settings_watcher.run()),
         loop.create_task(_configure_logging_late(gateway)),
@@ -144,8 +176,10 @@
     # SIGHUP must not end the process before its handler is installed.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = pathlib.Path(os.environ[_SETTINGS_VARIABLE])
+    options_text = os.environ.get(_OPTIONS_VARIABLE)
+    options_path = pathlib.Path(options_text) if options_text else None
     try:
-        uvloop.run(run(path))
+        uvloop.run(run(path, options_path))
     except (OSError, settings.PlatformSettingsError) as error:
         _configure_logging()
         events.error(
