--- a/features/gateway/hedging.feature
+++ b/features/gateway/hedging.feature
@@ -59,21 +59,23 @@
     And 0 hedges were sent, 0 won and 0 were cancelled
 
     Examples:
-      | situation                           |
-      | with a route that is not idempotent |
-      | with one attempt allowed            |
-      | with a retry budget of zero         |
-      | with a ratio of zero                |
-      | without durations                   |
-      | a request is queued                 |
-      | the other target is cold            |
-      | the other target is ejected         |
-      | the other target is failing         |
-      | the other target is full            |
-      | the other target is unhealthy       |
-      | the other target is silent          |
-      | no target reports its load          |
-      | the other target is removed         |
+      | situation                                     |
+      | with a route that is not idempotent           |
+      | with one attempt allowed                      |
+      | with a retry budget of zero                   |
+      | with a ratio of zero                          |
+      | without durations                             |
+      | a request is queued                           |
+      | a request is queued during the search         |
+      | the other target is cold                      |
+      | the other target is ejected                   |
+      | the other target is failing                   |
+      | the other target is full                      |
+      | the other target is unhealthy                 |
+      | the other target is silent                    |
+      | no target reports its load                    |
+      | the other target is removed                   |
+      | the other target is removed during the search |
 
   # A ratio of 0.01 and 101 requests allow one hedge.
   Scenario: A hedge that finds no target leaves its budget to the next one
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -170,6 +170,10 @@
         case "no target reports its load":
             for item in host.state.targets.all():
                 item.reports_load, item.report = False, None
+        case "a request is queued during the search":
+            host.prober.on_probe = lambda target_id: _enqueue(host)
+        case "the other target is removed during the search":
+            host.prober.on_probe = host.remove
         case "the other target is removed":
             host.remove(other)
         case _:
--- a/features/support/hedging_host.py
+++ b/features/support/hedging_host.py
@@ -64,11 +64,13 @@
 class _Prober(gateway_model.SimulatedProber):
     def __init__(self, **arguments):
         super().__init__(**arguments)
+        self.on_probe = lambda target_id: None
         self.silent_ids = set()
         self.unhealthy_ids = set()
 
     async def probe(self, target):
         result = await super().probe(target)
+        self.on_probe(target.target_id)
         if target.target_id in self.silent_ids:
             target.report = None
             return None
--- a/trefoilstand/gateway/hedging.py
+++ b/trefoilstand/gateway/hedging.py
@@ -18,7 +18,7 @@
 WINDOW_S: typing.Final = 60
 #: Durations kept for each route: the highest quantile, 0.999, needs 1,000.
 _MAX_DURATIONS: typing.Final = 1000
-#: Routes whose durations are kept, which take about 50 kB each.
+#: Routes whose durations are kept, which take about 40 kB each.
 _MAX_ROUTES: typing.Final = 128
 #: Share of the elapsed time after which a request is checked again whose
 #: first attempt is predicted to end before a hedge would.
