--- a/features/steps/lost_domain_steps.py
+++ b/features/steps/lost_domain_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import random
 
 from behave import given
@@ -47,14 +48,15 @@
 
     def __init__(self, clock):
         self.clock = clock
+        self.is_full = True
         self.sent = 0
 
     async def probe(self, target):
         self.sent += 1
         await asyncio.sleep(0.002)
         target.report = models.LoadReport(
-            running=6,
-            waiting=20,
+            running=6 if self.is_full else 0,
+            waiting=20 if self.is_full else 0,
             slots=6,
             slowdown=1.0,
             observed_s=self.clock.now_s(),
@@ -78,7 +80,7 @@
             },
             0.0,
         )
-        predictor = prediction.Predictor()
+        predictor = self.predictor = prediction.Predictor()
         random_source = random.Random(1)
         quota = target_quota.TargetQuota(
             limits=rate_limits.RateLimitTable(random_source=random_source),
@@ -183,6 +185,31 @@
     assert placement.target.record.failure_domain != "d0"
 
 
+@given("a host whose first responses took longer than the objective")
+def make_slow_start(context):
+    context.parts = _Parts(clock=_Clock(), targets_by_domain={"d0": 6})
+    context.parts.prober.is_full = False
+    for _ in range(3):
+        context.parts.predictor.record_duration(
+            _request(_NOW_S).route, "quotes", 1.9, None
+        )
+    usual_s = context.parts.predictor.processing_time_s(_request(_NOW_S).route)
+    assert usual_s > _request(_NOW_S).route.objective_s
+
+
+@when("a request with 4 s left is to be placed on a free target")
+def place_late(context):
+    request = dataclasses.replace(_request(_NOW_S), latest_s=_NOW_S + 4.0)
+    context.placement = asyncio.run(context.parts.selector.select(request))
+
+
+@then("it is placed")
+def check_is_placed(context):
+    assert isinstance(context.placement, placements.Placement), (
+        context.placement
+    )
+
+
 @given("72 targets without capacity")
 def make_full_targets(context):
     context.targets_by_domain = {"d0": 24, "d1": 24, "d2": 24}
--- a/trefoilstand/gateway/placements.py
+++ b/trefoilstand/gateway/placements.py
@@ -72,8 +72,8 @@
 
         As long as the objective can be met, only targets that are predicted
         to meet it are accepted.  Later the request only gets spare capacity:
-        targets predicted to finish it within one objective, with capacity
-        for a further request.
+        targets predicted to finish it within one objective, or within the
+        usual time if that is longer, with capacity for a further request.
         """
         if self.rules_out(target, now_s) or (
             self.is_hedge and not _is_load_recent(target, now_s)
@@ -84,8 +84,14 @@
         finish_s = now_s + predictor.predict_s(target, self.route, now_s)
         if not self.misses_objective(predictor, now_s):
             return finish_s <= self.due_s
+        # If work that is longer than the objective were refused, no response
+        # could ever correct an estimate that became too long.
+        longest_s = max(
+            self.route.objective_s,
+            predictor.processing_time_s(self.route) * const.DEFAULT_SLOWDOWN,
+        )
         return finish_s <= min(
-            self.latest_s, now_s + self.route.objective_s
+            self.latest_s, now_s + longest_s
         ) and predictor.has_spare_capacity(target, now_s)
 
     def misses_objective(
