--- a/features/state/restoration.feature
+++ b/features/state/restoration.feature
@@ -108,3 +108,11 @@
       | no t2, version 6, end b, t3 | has just started     | t1, t3, version 6        | t1, version 6 |
       | t2 draining                 | has just started     | t1, b evacuated, version 5 | t1, b evacuated, version 5 |
       | no t2, version 6            | read the copy itself | t1, b evacuated, version 6 | t1, b evacuated, version 6 |
+
+  # A host that held another change for a revision of the copy kept a key that
+  # the restored store had removed.
+  Scenario: Random histories with restorations
+    Given 2100 stores with seeded random changes, copies and restorations
+    When 4 hosts read them and fetch from each other in random order
+    Then no position goes back
+    And all hosts have the store's content once all keys are written again
--- a/features/steps/restoration_steps.py
+++ b/features/steps/restoration_steps.py
@@ -1,8 +1,11 @@
+import random
+
 from behave import given
 from behave import then
 from behave import when
 
 from features.support import restored_host
+from trefoilstand.fleet import replica
 
 
 @given("a store with {changes}, of which a copy is made")
@@ -135,3 +138,70 @@
 @then("its position is era 0 at the revision before")
 def check_old_position(context):
     assert context.host.replica.position == context.position_before
+
+
+@given("{count:d} stores with seeded random changes, copies and restorations")
+def plan_histories(context, count):
+    context.seeds = range(count)
+
+
+@when("{count:d} hosts read them and fetch from each other in random order")
+def run_histories(context, count):
+    context.reverted = []
+    context.differing = []
+    for seed in context.seeds:
+        random_source = random.Random(seed)
+        store = restored_host.Store(clock=restored_host.ManualClock())
+        store.revision = 0
+        replicas = [replica.Replica() for _ in range(count)]
+        copies = [store.copy()]
+        for _ in range(60):
+            kind = random_source.random()
+            if kind < 0.5:
+                restored_host.change_randomly(store, random_source)
+            elif kind < 0.55:
+                copies.append(store.copy())
+            elif kind < 0.58:
+                store.restore(random_source.choice(copies[-2:]))
+                copies = [store.copy()]
+            else:
+                reader = random_source.choice(replicas)
+                position = reader.position
+                reader.apply(
+                    restored_host.choose_delta(
+                        reader, store, replicas, random_source
+                    )
+                )
+                if reader.position < position:
+                    context.reverted.append(seed)
+        if not _converge(store, replicas, random_source):
+            context.differing.append(seed)
+
+
+def _converge(store, replicas, random_source):
+    """Write all keys again; return whether all replicas have the content."""
+    for reader in replicas:
+        reader.apply(store.snapshot())
+    restored_host.change_all(store, random_source)
+    first, second, *others = replicas
+    first.apply(store.snapshot())
+    second.apply(store.changes_since(second.revision))
+    for other in others:
+        other.apply(first.changes_since(other.position))
+    expected = {item.key: item.value for item in store.snapshot().items}
+    for reader in replicas:
+        reader.expire_lost()
+    return all(
+        {item.key: item.value for item in reader.items()} == expected
+        for reader in replicas
+    )
+
+
+@then("no position goes back")
+def check_no_reversion(context):
+    assert not context.reverted, context.reverted[:5]
+
+
+@then("all hosts have the store's content once all keys are written again")
+def check_converged(context):
+    assert not context.differing, context.differing[:5]
--- a/features/support/restored_host.py
+++ b/features/support/restored_host.py
@@ -9,6 +9,7 @@
 import random
 
 from features.support import reading_host
+from trefoilstand.fleet import codec
 from trefoilstand.fleet import lost_items
 from trefoilstand.fleet import models
 from trefoilstand.fleet import replica
@@ -45,6 +46,36 @@
                 self.put(key, value)
 
 
+def change_randomly(store, random_source):
+    """Set or remove one of eight keys."""
+    key = random_source.choice("abcdefgh")
+    if random_source.random() < 0.7:
+        store.put(key, b"%d" % random_source.randrange(10**9))
+    else:
+        store.remove(key)
+
+
+def change_all(store, random_source):
+    """Set all eight keys and remove some of them again."""
+    for key in "abcdefgh":
+        store.put(key, b"%d" % random_source.randrange(10**9))
+        if random_source.random() < 0.3:
+            store.remove(key)
+
+
+def choose_delta(reader, store, peers, random_source):
+    """Return what the store or a peer sends to a replica."""
+    kind = random_source.random()
+    if kind < 0.4:
+        return store.snapshot()
+    if kind < 0.6 and reader.era == store.era and reader.revision:
+        return store.changes_since(reader.revision)
+    peer = random_source.choice(peers)
+    return codec.decode_delta(
+        codec.encode_delta(peer.changes_since(reader.position))
+    )
+
+
 def make_snapshot(era, revision, *keys, value=b"x" * 250):
     """Return a snapshot that sets the keys at the revisions 1, 2, ..."""
     return models.Delta(
--- a/trefoilstand/fleet/replica.py
+++ b/trefoilstand/fleet/replica.py
@@ -101,15 +101,10 @@
             or revision < self._min_delta_revision
             or revision == 0
         ):
-            lost_removals = (
-                item
-                for item in self._removals.values()
-                if item.era == self.era and item.origin != models.NO_POSITION
-            )
             return models.Delta(
                 after_revision=0,
                 up_to_revision=self.revision,
-                items=(*self._items.values(), *lost_removals),
+                items=(*self._items.values(), *self._lost_removals()),
                 is_snapshot=True,
                 era=self.era,
             )
@@ -150,6 +145,14 @@
         """Return the last known change of a key, None if unknown."""
         return self._items.get(key) or self._removals.get(key)
 
+    def _lost_removals(self) -> list[models.Item]:
+        """Return the removals of keys that the store's copy still has."""
+        return [
+            item
+            for item in self._removals.values()
+            if item.era == self.era and item.origin != models.NO_POSITION
+        ]
+
     def _enter_era(self, delta: models.Delta) -> list[models.Item]:
         """Apply the first snapshot of a new era; return the changed items."""
         rewritten_from = self._change_log.find_first_rewritten(
@@ -193,7 +196,7 @@
         snapshot_keys = {item.key for item in delta.items}
         missing_items = [
             item
-            for item in self._items.values()
+            for item in (*self._items.values(), *self._lost_removals())
             if item.key not in snapshot_keys
             and item.era == delta.era
             and item.revision <= delta.up_to_revision
