--- a/features/state/restoration_spread.feature
+++ b/features/state/restoration_spread.feature
@@ -60,6 +60,16 @@
     And the watch returns changes of the earlier era
     Then the host holds the state of the new era, not confirmed by the watch
 
+  # A host that could use neither response called the store without a pause.
+  Scenario Outline: A store whose responses are of two eras
+    Given a store whose watches and snapshots are of the eras <first> and <second>
+    Then a host calls it at most 40 times in 3 s
+
+    Examples:
+      | first | second |
+      | 1     | 0      |
+      | 0     | 1      |
+
   # It followed the copy although its peers knew what the copy lacks.
   Scenario Outline: A new process reads the copy first
     Given a new process that reads a restored store at once
--- a/features/steps/restoration_reading_steps.py
+++ b/features/steps/restoration_reading_steps.py
@@ -71,18 +71,23 @@
     """Store with scripted responses.
 
     :param snapshot: delta that a read of all keys returns.
-    :param changes: delta that a watch returns after 0.5 s.
+    :param changes: delta that a watch returns.
+    :param watch_s: time until it does.
     """
 
-    def __init__(self, *, snapshot, changes):
+    def __init__(self, *, snapshot, changes, watch_s=0.5):
         self._snapshot = snapshot
         self._changes = changes
+        self._watch_s = watch_s
+        self.calls = 0
 
     async def read_all(self):
+        self.calls += 1
         return self._snapshot
 
     async def watch(self, after_revision, wait_s):
-        await asyncio.sleep(0.5)
+        self.calls += 1
+        await asyncio.sleep(self._watch_s)
         return self._changes
 
     def close(self):
@@ -156,6 +161,30 @@
     assert context.staleness.confirmed_s == context.confirmed_s
 
 
+@given(
+    "a store whose watches and snapshots are of the eras {first} and {second}"
+)
+def set_two_eras(context, first, second):
+    context.stub_store = _StubStore(
+        snapshot=restored_host.make_snapshot(int(second), 7, "a"),
+        changes=dataclasses.replace(
+            restored_host.make_snapshot(int(first), 9, "b"),
+            after_revision=7,
+            is_snapshot=False,
+        ),
+        watch_s=0.004,
+    )
+
+
+@then("a host calls it at most {limit:d} times in {seconds:d} s")
+def check_calls(context, limit, seconds):
+    async def scenario():
+        await asyncio.sleep(seconds)
+
+    _run_coordinator(context, context.stub_store, scenario)
+    assert 2 < context.stub_store.calls <= limit, context.stub_store.calls
+
+
 @given("a new process that reads a restored store at once")
 def start_process(context):
     context.stub_store = _StubStore(
--- a/trefoilstand/fleet/coordinator.py
+++ b/trefoilstand/fleet/coordinator.py
@@ -215,6 +215,11 @@
             and delta.up_to_revision <= self._state.revision
         ):
             self._staleness.confirm(confirmed_s)
+        if not has_advanced and (
+            delta.is_snapshot or delta.era < self._state.era
+        ):
+            # Whatever the reason is, the next response may be the same.
+            await asyncio.sleep(const.MIN_BACKOFF_S)
         return has_advanced
 
     async def _wait_for_peer_state(self) -> None:
