--- a/features/steps/restoration_reading_steps.py
+++ b/features/steps/restoration_reading_steps.py
@@ -161,9 +161,7 @@
     assert context.staleness.confirmed_s == context.confirmed_s
 
 
-@given(
-    "a store whose watches and snapshots are of the eras {first} and {second}"
-)
+@given("a store whose watches are of era {first}, snapshots of {second}")
 def set_two_eras(context, first, second):
     context.stub_store = _StubStore(
         snapshot=restored_host.make_snapshot(int(second), 7, "a"),
--- a/features/steps/restoration_steps.py
+++ b/features/steps/restoration_steps.py
@@ -94,7 +94,7 @@
 
 @when("the peer fetches from the host and then reads a snapshot of the store")
 def fetch_from_host(context):
-    if context.peer_knows == "read the copy itself":
+    if context.peer_knows == "read the copy":
         context.peer.read(context.store.snapshot())
         context.store.change("other")
         context.host.read(context.store.snapshot())
--- a/features/support/restored_host.py
+++ b/features/support/restored_host.py
@@ -1,8 +1,9 @@
 """Replica and target table of a host, without I/O, and a store that it reads.
 
 Changes of the store are texts such as ``t1``, ``t1 draining``, ``t1 as 2``
-(another incarnation), ``no t1``, ``evacuate a``, ``end a``, ``version 6`` and
-``other`` (a key that the host does not use).
+(another incarnation), ``no t1``, ``off a`` (the domain is evacuated), ``on a``
+(it is not any more), ``v6`` (version of the configuration) and ``other`` (a
+key that the host does not use).
 """
 
 import json
@@ -95,10 +96,11 @@
     name, _, detail = text.partition(" ")
     if name == "no":
         return f"servers/{detail}", None
-    if name in ("evacuate", "end"):
-        return f"op/evacuate/{detail}", b"{}" if name == "evacuate" else None
-    if name == "version":
-        configuration = {"version": f"r{detail}", "routes": {}, "services": {}}
+    if name in ("off", "on"):
+        return f"op/evacuate/{detail}", b"{}" if name == "off" else None
+    if name.startswith("v"):
+        version = f"r{name[1:]}"
+        configuration = {"version": version, "routes": {}, "services": {}}
         return "op/config", json.dumps(configuration).encode()
     if name == "other":
         return "other", detail.encode()
@@ -175,10 +177,10 @@
             for target in self.state.targets.all()
         )
         parts += [
-            f"{domain} evacuated"
+            f"{domain} off"
             for domain in "ab"
             if domain in self.state.evacuated_domains
         ]
         if self.state.version:
-            parts.append(f"version {self.state.version}")
+            parts.append(f"v{self.state.version}")
         return ", ".join(parts) or "-"
