--- a/features/steps/layout_steps.py
+++ b/features/steps/layout_steps.py
@@ -11,7 +11,7 @@
 _PROTOCOL_NAMES = re.compile(
     r"server-stamp|target-instance|not-executed|server-load|warmup-left"
     r"|traffic-split|route-type|max-attempts|op/config|servers/|kv-range"
-    r"|api/re(solve|adiness)",
+    r"|api/re(solve|adiness)|store-era",
     re.IGNORECASE,
 )
 
--- a/trefoilstand/standins/store_service.py
+++ b/trefoilstand/standins/store_service.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import typing
 import urllib.parse
@@ -18,11 +19,26 @@
 _MS_PER_S: typing.Final = 1000
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StoreCopy:
+    """Hold the content of the store at one moment.
+
+    :param revision: revision of the store.
+    :param items: revision and value of each key.
+    :param history: revision, key and value of each change.
+    """
+
+    revision: int
+    items: dict[str, tuple[int, bytes]]
+    history: tuple[tuple[int, str, bytes | None], ...]
+
+
 class StoreService(handling.RequestHandler):
     """Hold keys with revisions and serve reads and watches."""
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 0
         self.calls = 0
         self.is_down = False
         self._items: dict[str, tuple[int, bytes]] = {}
@@ -54,6 +70,26 @@
         self._history.clear()
         self._compacted_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can come back later."""
+        return StoreCopy(
+            revision=self.revision,
+            items=dict(self._items),
+            history=tuple(self._history),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an earlier copy, which starts a new era.
+
+        :param copy: copy that :meth:`copy` returned.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _record_change(self, key: str, value: bytes | None) -> None:
         self._history.append((self.revision, key, value))
         self._changed.set()
@@ -95,8 +131,8 @@
         self, query: dict[str, str]
     ) -> handling.CallerResponse:
         after_revision = int(query["after"])
-        if after_revision < self._compacted_revision:
-            return handling.CallerResponse(status=410)
+        if not self._has_history_after(after_revision):
+            return self._respond_gone()
         if not self._events_after(query["prefix"], after_revision):
             try:
                 async with asyncio.timeout(int(query["wait-ms"]) / _MS_PER_S):
@@ -105,12 +141,15 @@
                 pass
         if self.is_down:
             return handling.CallerResponse(status=503)
-        if after_revision < self._compacted_revision:
-            return handling.CallerResponse(status=410)
+        if not self._has_history_after(after_revision):
+            return self._respond_gone()
         return self._respond(
             events=self._events_after(query["prefix"], after_revision)
         )
 
+    def _has_history_after(self, revision: int) -> bool:
+        return self._compacted_revision <= revision <= self.revision
+
     def _events_after(
         self, prefix: str, after_revision: int
     ) -> list[dict[str, typing.Any]]:
@@ -123,9 +162,17 @@
     def _respond(self, **content: typing.Any) -> handling.CallerResponse:
         content["store-revision"] = self.revision
         return handling.CallerResponse(
-            status=200, fields=[_JSON], body=json.dumps(content).encode()
+            status=200,
+            fields=[_JSON, self._era_field()],
+            body=json.dumps(content).encode(),
         )
 
+    def _respond_gone(self) -> handling.CallerResponse:
+        return handling.CallerResponse(status=410, fields=[self._era_field()])
+
+    def _era_field(self) -> tuple[bytes, bytes]:
+        return (b"store-era", b"%d" % self.era)
+
 
 def _encode_item(
     key: str, revision: int, value: bytes | None
