--- a/features/support/restored_host.py
+++ b/features/support/restored_host.py
@@ -1,14 +1,16 @@
 """Replica and target table of a host, without I/O, and a store that it reads.
 
 Changes of the store are texts such as ``t1``, ``t1 draining``, ``t1 as 2``
-(another incarnation), ``no t1``, ``evacuate a``, ``end a``, ``version 6`` and
-``other`` (a key that the host does not use).
+(another incarnation), ``no t1``, ``off a`` (the domain is evacuated), ``on a``
+(it is not any more), ``v6`` (version of the configuration) and ``other`` (a
+key that the host does not use).
 """
 
 import json
 import random
 
 from features.support import reading_host
+from trefoilstand.fleet import codec
 from trefoilstand.fleet import lost_items
 from trefoilstand.fleet import models
 from trefoilstand.fleet import replica
@@ -45,6 +47,36 @@
                 self.put(key, value)
 
 
+def change_randomly(store, random_source):
+    """Set or remove one of eight keys."""
+    key = random_source.choice("abcdefgh")
+    if random_source.random() < 0.7:
+        store.put(key, b"%d" % random_source.randrange(10**9))
+    else:
+        store.remove(key)
+
+
+def change_all(store, random_source):
+    """Set all eight keys and remove some of them again."""
+    for key in "abcdefgh":
+        store.put(key, b"%d" % random_source.randrange(10**9))
+        if random_source.random() < 0.3:
+            store.remove(key)
+
+
+def choose_delta(reader, store, peers, random_source):
+    """Return what the store or a peer sends to a replica."""
+    kind = random_source.random()
+    if kind < 0.4:
+        return store.snapshot()
+    if kind < 0.6 and reader.era == store.era and reader.revision:
+        return store.changes_since(reader.revision)
+    peer = random_source.choice(peers)
+    return codec.decode_delta(
+        codec.encode_delta(peer.changes_since(reader.position))
+    )
+
+
 def make_snapshot(era, revision, *keys, value=b"x" * 250):
     """Return a snapshot that sets the keys at the revisions 1, 2, ..."""
     return models.Delta(
@@ -64,10 +96,11 @@
     name, _, detail = text.partition(" ")
     if name == "no":
         return f"servers/{detail}", None
-    if name in ("evacuate", "end"):
-        return f"op/evacuate/{detail}", b"{}" if name == "evacuate" else None
-    if name == "version":
-        configuration = {"version": f"r{detail}", "routes": {}, "services": {}}
+    if name in ("off", "on"):
+        return f"op/evacuate/{detail}", b"{}" if name == "off" else None
+    if name.startswith("v"):
+        version = f"r{name[1:]}"
+        configuration = {"version": version, "routes": {}, "services": {}}
         return "op/config", json.dumps(configuration).encode()
     if name == "other":
         return "other", detail.encode()
@@ -144,10 +177,10 @@
             for target in self.state.targets.all()
         )
         parts += [
-            f"{domain} evacuated"
+            f"{domain} off"
             for domain in "ab"
             if domain in self.state.evacuated_domains
         ]
         if self.state.version:
-            parts.append(f"version {self.state.version}")
+            parts.append(f"v{self.state.version}")
         return ", ".join(parts) or "-"
