--- a/features/support/reading_host.py
+++ b/features/support/reading_host.py
@@ -134,6 +134,7 @@
     def __init__(self, *, members):
         self._members = members
         self.requested_addresses = []
+        self.has_peer_with_state = False
 
     @property
     def view(self):
--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -126,6 +126,9 @@
 #: of the store is from a restored one, as only peers know what was lost.
 #: Joining the peers and one transfer take about 0.5 s.
 FIRST_PEER_STATE_WAIT_S: typing.Final = 1.0
+#: It waits no longer than this if no peer has state either, as after a loss of
+#: power on all hosts.  On small hosts joining takes 0.3 s.
+FIRST_PEER_CONTACT_WAIT_S: typing.Final = 0.5
 
 #: Removals kept for hosts whose replica is behind.
 MAX_REMEMBERED_REMOVALS: typing.Final = 4096
--- a/trefoilstand/fleet/coordinator.py
+++ b/trefoilstand/fleet/coordinator.py
@@ -228,8 +228,14 @@
         A new process cannot tell which values and removals the store lost
         when it was restored, but its peers can.
         """
-        end_s = self._clock.now_s() + const.FIRST_PEER_STATE_WAIT_S
-        while not self._state.revision and self._clock.now_s() < end_s:
+        started_s = self._clock.now_s()
+        while not self._state.revision:
+            elapsed_s = self._clock.now_s() - started_s
+            if elapsed_s >= const.FIRST_PEER_STATE_WAIT_S or (
+                elapsed_s >= const.FIRST_PEER_CONTACT_WAIT_S
+                and not self._peers.has_peer_with_state
+            ):
+                return
             await asyncio.sleep(const.MIN_POLL_INTERVAL_S)
 
     async def _handle_failure(self, error: stores.StoreError) -> None:
--- a/trefoilstand/fleet/exchange.py
+++ b/trefoilstand/fleet/exchange.py
@@ -89,6 +89,11 @@
             self._view_built_s = now_s
         return self._view
 
+    @property
+    def has_peer_with_state(self) -> bool:
+        """Return whether a peer is known to hold state of the store."""
+        return self._handler is not None and self._handler.has_holder
+
     @property
     def _heartbeats(self) -> messages.MessageHandler:
         if self._handler is None:
--- a/trefoilstand/fleet/heartbeat.py
+++ b/trefoilstand/fleet/heartbeat.py
@@ -182,6 +182,14 @@
                 has_new_limit = True
         return has_new_limit
 
+    @property
+    def has_holder(self) -> bool:
+        """Return whether any peer is known to hold state of the store."""
+        return any(
+            known != models.NO_POSITION
+            for known in self._peer_positions.values()
+        )
+
     def find_holders(
         self,
         position: models.Position,
--- a/trefoilstand/fleet/messages.py
+++ b/trefoilstand/fleet/messages.py
@@ -82,6 +82,11 @@
         :raises MalformedMessageError: it cannot be decoded.
         """
 
+    @property
+    @abc.abstractmethod
+    def has_holder(self) -> bool:
+        """Return whether any peer is known to hold state of the store."""
+
     @abc.abstractmethod
     def find_holders(
         self,
