--- a/trefoilstand/cli/output.py
+++ b/trefoilstand/cli/output.py
@@ -7,6 +7,7 @@
 
 import rich.console
 import rich.table
+import rich.text
 
 
 def print_json(content: object) -> None:
@@ -20,18 +21,27 @@
 
 def print_table(
     columns: collections.abc.Sequence[str],
-    rows: collections.abc.Iterable[collections.abc.Sequence[object]],
+    rows: collections.abc.Iterable[collections.abc.Iterable[object]],
+    *,
+    is_wrapped: bool = False,
 ) -> None:
     """Print rows in aligned columns to standard output.
 
     :param columns: column headings.
-    :param rows: one sequence of cells for each row.
+    :param rows: the cells of each row.
+    :param is_wrapped: whether long cells continue on further lines instead
+        of being cut.
     """
     table = rich.table.Table(box=None, pad_edge=False)
     for column in columns:
-        table.add_column(column, no_wrap=True)
+        table.add_column(
+            column,
+            no_wrap=not is_wrapped,
+            overflow="fold" if is_wrapped else "ellipsis",
+        )
     for row in rows:
-        table.add_row(*(str(cell) for cell in row))
+        # Brackets in plain strings would be read as markup.
+        table.add_row(*(rich.text.Text(str(cell)) for cell in row))
     console = rich.console.Console(highlight=False, width=_table_width())
     console.print(table)
 
