--- a/trefoilstand/platform/decoder.py
+++ b/trefoilstand/platform/decoder.py
@@ -22,7 +22,7 @@
 #: Larger numbers are not plausible: a target with so many slots, or with so
 #: long a warm-up, would upset the choice of targets for all requests.
 _SLOTS_LIMIT: typing.Final = 1_000_000
-_WARMUP_LIMIT_S: typing.Final = 86_400.0
+WARMUP_LIMIT_S: typing.Final = 86_400.0
 #: Start times from this on, in milliseconds, do not fit messages of hosts.
 _INCARNATION_LIMIT: typing.Final = 2**63
 #: Route types whose requests may run more than once; downloads are safe
@@ -163,8 +163,8 @@
 
 def _decode_warmup_s(raw: typing.Any) -> float:
     warmup_s = values.parse_seconds(raw)
-    if warmup_s > _WARMUP_LIMIT_S:
-        raise ValueError(f"warmup-left must not exceed {_WARMUP_LIMIT_S} s")
+    if warmup_s > WARMUP_LIMIT_S:
+        raise ValueError(f"warmup-left must not exceed {WARMUP_LIMIT_S} s")
     return warmup_s
 
 
