--- a/trefoilstand/platform/document_schema.py
+++ b/trefoilstand/platform/document_schema.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 import pydantic
@@ -25,8 +26,8 @@
 
 
 def _check_time_limit(value: typing.Any) -> typing.Any:
-    if values.parse_seconds(value) <= 0:
-        raise ValueError("the time must be above 0")
+    if not 0 < values.parse_seconds(value) < math.inf:
+        raise ValueError("the time must be finite and above 0")
     return value
 
 
@@ -52,7 +53,8 @@
 ]
 _Warmup = typing.Annotated[typing.Any, pydantic.AfterValidator(_check_warmup)]
 _Name = typing.Annotated[pydantic.StrictStr, pydantic.Field(min_length=1)]
-_Count = typing.Annotated[pydantic.StrictInt, pydantic.Field(ge=1)]
+#: Shares of counts are computed as floats, which larger integers can overflow.
+_Count = typing.Annotated[pydantic.StrictInt, pydantic.Field(ge=1, le=2**53)]
 _Rank = typing.Annotated[pydantic.StrictInt, pydantic.Field(ge=0)]
 _Amount = typing.Annotated[
     pydantic.StrictFloat, pydantic.Field(ge=0, allow_inf_nan=False)
