--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -26,8 +26,9 @@
 class PlatformHost:
     """One daemon process with its own loopback address."""
 
-    def __init__(self, *, number, folder, network):
+    def __init__(self, *, number, folder, network, limits=None):
         self.network = network
+        self.limits = limits
         self.ip = f"{network}.{number + 1}"
         self.path = folder / f"boot-{number}.json"
         self.log_path = folder / f"log-{number}.txt"
@@ -55,6 +56,7 @@
             "platform": {
                 "address": f"{self.network}.{_STORE_HOST_NUMBER}:8642"
             },
+            "limits": self.limits,
         }
 
     def start(self):
@@ -130,11 +132,13 @@
 class PlatformFleet:
     """Start store, targets and hosts, and act as their operator."""
 
-    def __init__(self, *, hosts, targets=4, network=_NETWORK):
+    def __init__(self, *, hosts, targets=4, network=_NETWORK, limits=None):
         self._folder = tempfile.TemporaryDirectory()
         folder = pathlib.Path(self._folder.name)
         self.hosts = [
-            PlatformHost(number=number, folder=folder, network=network)
+            PlatformHost(
+                number=number, folder=folder, network=network, limits=limits
+            )
             for number in range(hosts)
         ]
         self.targets = [
@@ -219,7 +223,7 @@
             if not connection.is_idle:
                 connection._transport.abort()
 
-    def publish(self, prefixes, safe=(), timeout_ms=1000):
+    def publish(self, prefixes, safe=(), timeout_ms=1000, limits=None):
         """Publish a configuration with unsafe and safe routes."""
         self.version += 1
         routes = {
@@ -242,7 +246,7 @@
                     "version": f"r{self.version}",
                     "routes": routes,
                     "services": {"quotes": {"health-path": "/health"}},
-                    "limits": {},
+                    "limits": limits or {},
                 }
             ).encode(),
         )
