--- a/trefoilstand/experiments/gateway_model.py
+++ b/trefoilstand/experiments/gateway_model.py
@@ -247,6 +247,7 @@
         *,
         matches: outbound_connection.Matcher,
         is_head: bool = False,
+        body: http_models.Body = b"",
     ) -> asyncio.Future[http_models.Response]:
         """Send a request; cancelling the future stops the work."""
         return asyncio.get_running_loop().create_task(self._run())
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -12,6 +12,7 @@
 from trefoilstand.gateway import assembly
 from trefoilstand.gateway import connection_quota
 from trefoilstand.gateway import directory
+from trefoilstand.gateway import gauges
 from trefoilstand.gateway import leaving
 from trefoilstand.gateway import metrics_page
 from trefoilstand.gateway import models
@@ -22,14 +23,15 @@
 from trefoilstand.gateway import probing
 from trefoilstand.gateway import registry
 from trefoilstand.gateway import replication
+from trefoilstand.gateway import resource_limits
 from trefoilstand.gateway import retry_budget
 from trefoilstand.gateway import settings as gateway_settings
 from trefoilstand.gateway import state
 from trefoilstand.gateway import target_protocol
 from trefoilstand.helpers import lifecycle
 from trefoilstand.helpers import supervision
-from trefoilstand.http import buffer_budget
 from trefoilstand.http import handling
+from trefoilstand.http import input_admission
 from trefoilstand.http import input_scheduler
 from trefoilstand.http import server
 from trefoilstand.telemetry import events
@@ -42,11 +44,6 @@
 _FIRST_STATE_WAIT_S: typing.Final = 0.1
 #: Listen backlog: connections that wait to be accepted.
 _BACKLOG: typing.Final = 512
-#: Share of the memory limit for bodies of responses.  Joining a body's parts
-#: takes its size once more, and one body may exceed the share.
-_BODY_MEMORY_SHARE: typing.Final = 0.25
-#: State age reported before the first confirmation, as it is infinite then.
-_MAX_REPORTED_AGE_S: typing.Final = 1e6
 
 
 class Phase(enum.StrEnum):
@@ -82,9 +79,8 @@
         self._clock = clocks.MonotonicClock()
         self.phase = Phase.STARTING
         self.counts = metric_store.MetricStore()
-        self.buffers = buffer_budget.BufferBudget(
-            limit_bytes=int(settings.memory_limit_bytes * _BODY_MEMORY_SHARE)
-        )
+        self.buffers = resource_limits.make_budget(settings.memory_limit_bytes)
+        self.admission = input_admission.InputAdmission(budget=self.buffers)
         self._input_scheduler = input_scheduler.InputScheduler()
         self.fleet = replication.FleetReplication(
             settings=settings,
@@ -160,6 +156,10 @@
         self.caller_server = server.Server(
             handler=self.forwarder,
             buffers=self.buffers,
+            admission=self.admission,
+            max_connections=resource_limits.max_caller_connections(
+                self._settings.descriptor_limit
+            ),
             scheduler=self._input_scheduler,
         )
         self.state.configuration_listeners.append(self._apply_configuration)
@@ -169,38 +169,10 @@
         self.add_page(
             self._settings.metrics_endpoint,
             metrics_page.MetricsPage(
-                counts=self.counts, gauges=self._read_gauges
+                counts=self.counts, gauges=lambda: gauges.read(self)
             ),
         )
 
-    def _read_gauges(self) -> dict[str, float]:
-        """Return the current gauge values for the metrics page."""
-        age_s = self.fleet.staleness.age_s(time.monotonic())
-        transfers = self.fleet.transfers
-        return {
-            "trefoilstand_configuration_version": self.state.version,
-            "trefoilstand_state_revision": self.fleet.replica.revision,
-            "trefoilstand_state_age_seconds": min(age_s, _MAX_REPORTED_AGE_S),
-            "trefoilstand_targets": len(self.state.targets),
-            "trefoilstand_evacuated_domains": len(
-                self.state.evacuated_domains
-            ),
-            "trefoilstand_warming_targets": self.state.targets.warming_count(
-                time.monotonic()
-            ),
-            "trefoilstand_entry_hosts": self.state.hosts.count,
-            "trefoilstand_requests_in_progress": self.forwarder.in_progress,
-            "trefoilstand_probes": self.prober.sent,
-            "trefoilstand_failed_probes": self.prober.failed,
-            "trefoilstand_target_connections_opened": self.connections.opened,
-            "trefoilstand_peer_datagrams": self.fleet.peers.datagrams_sent,
-            "trefoilstand_state_transfers": transfers.transfer_count,
-            "trefoilstand_store_reads": self.fleet.reader.read_count,
-            "trefoilstand_body_bytes": self.buffers.used_bytes,
-            "trefoilstand_bodies_waiting": self.buffers.waiting_count,
-            "trefoilstand_is_ready": int(self.directory.is_own_ready),
-        }
-
     def add_page(
         self,
         endpoint: gateway_settings.Endpoint,
@@ -211,7 +183,17 @@
         :param endpoint: address to listen on once the process runs.
         :param handler: handler of the page's requests.
         """
-        self._page_servers.append((endpoint, server.Server(handler=handler)))
+        page_server = server.Server(
+            handler=handler,
+            buffers=self.buffers,
+            admission=self.admission,
+            max_connections=resource_limits.PAGE_CONNECTIONS,
+            scheduler=self._input_scheduler,
+        )
+        page_server.limits = handling.Limits(
+            body_bytes=resource_limits.PAGE_BODY_BYTES
+        )
+        self._page_servers.append((endpoint, page_server))
 
     @property
     def _components(self) -> list[lifecycle.Component]:
@@ -351,6 +333,7 @@
         )
         self.fleet.host_ranking.update(now_s)
         self.state.tick(now_s)
+        self.admission.check(now_s)
         self.connections.close_expired()
         self._update_probe_rate()
         if self.phase is Phase.LEAVING:
--- a/trefoilstand/gateway/forwarding.py
+++ b/trefoilstand/gateway/forwarding.py
@@ -121,7 +121,7 @@
             return self._reject(request, models.Refusal.NO_ROUTE)
         timeout_s = route.timeout_s
         waited_s = 0.0
-        caller_timeout_s = self._caller_timeout_s(request)
+        caller_timeout_s = self.caller_timeout_s(request.fields)
         if caller_timeout_s is not None:
             timeout_s = min(caller_timeout_s, timeout_s)
             waited_s = self._caller_retries.previous_wait_s(
@@ -148,9 +148,13 @@
         except TimeoutError:
             return
 
-    def _caller_timeout_s(self, request: http_models.Request) -> float | None:
+    def caller_timeout_s(
+        self, fields: http_models.HeaderFields
+    ) -> float | None:
         """Return the caller's timeout in seconds, None without a valid one."""
-        timeout_field = request.find_field(self._protocol.names.deadline_ms)
+        timeout_field = http_models.find_field(
+            fields, self._protocol.names.deadline_ms
+        )
         if (
             timeout_field is None
             or not timeout_field.isdigit()
--- a/trefoilstand/gateway/pool.py
+++ b/trefoilstand/gateway/pool.py
@@ -36,6 +36,7 @@
         *,
         matches: outbound_connection.Matcher,
         is_head: bool = False,
+        body: models.Body = b"",
     ) -> asyncio.Future[models.Response]:
         """Send a request and return the future of its response.
 
@@ -43,6 +44,7 @@
         :param matches: tells the response to this request from others.
         :param is_head: whether it is a HEAD request, whose response has no
             body.
+        :param body: body that the encoded request does not contain.
         """
 
 
--- a/trefoilstand/gateway/sending.py
+++ b/trefoilstand/gateway/sending.py
@@ -116,6 +116,7 @@
                 ),
                 matches=self._make_matcher(call.request),
                 is_head=call.request.method == b"HEAD",
+                body=wire.uncopied_body(call.request.body),
             )
             result = self._classify(response, target.target_id)
             if result.outcome is not models.Outcome.MISDIRECTED:
--- a/trefoilstand/gateway/settings.py
+++ b/trefoilstand/gateway/settings.py
@@ -47,6 +47,7 @@
     :param probes_per_target_s: probes per second that a target accepts from
         all hosts together.
     :param memory_limit_bytes: memory that the process may use.
+    :param descriptor_limit: file descriptors that the process may use.
     """
 
     host_name: str
@@ -68,3 +69,4 @@
     retry_window_s: float
     probes_per_target_s: float
     memory_limit_bytes: int
+    descriptor_limit: int
--- a/trefoilstand/http/caller_connection.py
+++ b/trefoilstand/http/caller_connection.py
@@ -8,20 +8,18 @@
 
 from trefoilstand.http import buffer_budget
 from trefoilstand.http import handling
+from trefoilstand.http import input_admission
 from trefoilstand.http import input_scheduler
 from trefoilstand.http import models
 from trefoilstand.http import pipeline
+from trefoilstand.http import request_reception
+from trefoilstand.http import response_writing
 from trefoilstand.http import wire
 from trefoilstand.telemetry import events
 
 if typing.TYPE_CHECKING:
     from trefoilstand.http import server as servers
 
-#: Larger bodies are written apart from their header, without a copy.
-_MAX_COPIED_BODY_BYTES: typing.Final = 16 * 1024
-#: A caller that reads nothing of its response for this long is cut off, as
-#: the response takes memory.
-_UNREAD_RESPONSE_TIMEOUT_S: typing.Final = 5.0
 _CONTINUE_RESPONSE: typing.Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -42,7 +40,11 @@
         self._timeout_handle: asyncio.TimerHandle | None = None
         self._request_target = b""
         self._header_fields: models.HeaderFields = []
-        self._body = bytearray()
+        self._reception = request_reception.RequestReception(
+            admission=server.admission,
+            on_refused=self._refuse,
+            on_granted=self._continue_input,
+        )
         self._header_bytes = 0
         #: Bytes received since the parser last completed a part.
         self._unparsed_bytes = 0
@@ -50,20 +52,20 @@
         self._is_in_message = False
         self._is_in_header = False
         self._is_rejected = False
-        self._unsent_lease: buffer_budget.BufferLease | None = None
-        self._stall_handle: asyncio.TimerHandle | None = None
+        self._unsent = response_writing.UnsentResponse(buffers=server.buffers)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start its idle timeout."""
         super().connection_made(transport)
-        self._server.connections[self] = None
         self._start_timeout(self._server.limits.idle_timeout_s)
+        self._server.register(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, since no caller waits for it."""
         self._server.connections.pop(self, None)
         self._cancel_timeout()
-        self.resume_writing()
+        self._unsent.resume()
+        self._reception.close()
         self._pipeline.clear()
         self._release_waiting()
         self._discard_input()
@@ -76,39 +78,14 @@
 
     def pause_writing(self) -> None:
         """Count a response that the caller has not read yet."""
-        if self._transport is None:
-            return
-        unsent_bytes = self._transport.get_write_buffer_size()
-        if self._server.buffers is not None and self._unsent_lease is None:
-            self._unsent_lease = self._server.buffers.open_lease(lambda: None)
-            self._unsent_lease.hold(unsent_bytes)
-        self._watch_unsent(unsent_bytes)
+        if self._transport is not None:
+            self._unsent.pause(self._transport)
 
     def resume_writing(self) -> None:
-        """Release the memory of a response that was sent."""
-        if self._stall_handle is not None:
-            self._stall_handle.cancel()
-            self._stall_handle = None
-        if self._unsent_lease is not None:
-            self._unsent_lease.release()
-            self._unsent_lease = None
-
-    def _watch_unsent(self, unsent_bytes: int) -> None:
-        """Check later that the caller has read some of its response."""
-        self._stall_handle = asyncio.get_running_loop().call_later(
-            _UNREAD_RESPONSE_TIMEOUT_S, self._check_unsent, unsent_bytes
-        )
-
-    def _check_unsent(self, previous_bytes: int) -> None:
-        self._stall_handle = None
-        if self._transport is None:
-            return
-        unsent_bytes = self._transport.get_write_buffer_size()
-        if unsent_bytes < previous_bytes:
-            self._watch_unsent(unsent_bytes)
-            return
-        events.info(events.CallerStalled(unsent_bytes=unsent_bytes))
-        self._transport.abort()
+        """Release a response that was sent, and write those behind it."""
+        self._unsent.resume()
+        if self._transport is not None:
+            self._write_complete()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller ends its stream."""
@@ -129,6 +106,51 @@
             self._reject(400)
         if self._unparsed_bytes > self._server.limits.header_bytes:
             self._reject(431)
+        if self._is_in_message and not self._is_rejected:
+            self._count_incomplete()
+
+    def _count_incomplete(self) -> None:
+        """Count a partly received request, which may have to wait."""
+        if self._transport is None:
+            return
+        self._reception.count(self._header_memory_bytes, self._transport)
+        if self._is_rejected:
+            return
+        if self._reception.is_waiting:
+            self._transport.pause_reading()
+        if not self._is_in_header and not self._reception.is_watched:
+            timeout_s = self._server.handler.caller_timeout_s(
+                self._header_fields
+            )
+            self._reception.watch(
+                deadline_s=None
+                if timeout_s is None
+                else self._request_arrived_s + timeout_s,
+                stall_timeout_s=self._server.limits.idle_timeout_s,
+            )
+
+    @property
+    def _header_memory_bytes(self) -> int:
+        return (
+            self._header_bytes
+            + len(self._header_fields) * request_reception.FIELD_OVERHEAD_BYTES
+        )
+
+    @property
+    def receiving_since_s(self) -> float | None:
+        """Return since when its only request is received, None without."""
+        if len(self._pipeline) or not self._is_in_message:
+            return None
+        return self._request_arrived_s
+
+    def give_up(self) -> None:
+        """Close the connection for another one, as there are too many."""
+        if self._transport is None:
+            return
+        if self.receiving_since_s is not None:
+            self._refuse(input_admission.STATUS_NO_PROGRESS)
+        else:
+            self._transport.close()
 
     @property
     def is_idle(self) -> bool:
@@ -150,7 +172,6 @@
         self._is_in_header = True
         self._request_target = b""
         self._header_fields = []
-        self._body = bytearray()
         self._header_bytes = 0
         if not len(self._pipeline):
             self._start_timeout(self._server.limits.header_timeout_s)
@@ -177,19 +198,34 @@
         if self._is_rejected or self._transport is None:
             return
         self._cancel_timeout()
-        for name, value in self._header_fields:
-            if name == b"expect" and value.lower() == b"100-continue":
-                self._transport.write(_CONTINUE_RESPONSE)
+        size_bytes, expects_continue = wire.read_expectations(
+            self._header_fields
+        )
+        if size_bytes > self._server.limits.body_bytes:
+            self._refuse(413)
+            return
+        self._reception.announce(
+            size_bytes + self._header_memory_bytes, self._transport
+        )
+        if expects_continue and not self._is_rejected:
+            self._transport.write(_CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body, up to the size limit."""
         self._unparsed_bytes = 0
         if self._is_rejected:
             return
-        if len(self._body) + len(body) > self._server.limits.body_bytes:
-            self._reject(413)
+        reception = self._reception
+        if (
+            reception.received_bytes + len(body)
+            > self._server.limits.body_bytes
+        ):
+            self._refuse(413)
             return
-        self._body += body
+        try:
+            reception.body.append(body)
+        except OSError:
+            self._refuse(input_admission.STATUS_NO_MEMORY)
 
     def on_chunk_header(self) -> None:
         """Record that the parser has completed a chunk's size line."""
@@ -202,39 +238,32 @@
         self._is_in_message = False
         if self._is_rejected:
             return
+        try:
+            lease = self._reception.complete()
+        except MemoryError:
+            self._refuse(input_admission.STATUS_NO_MEMORY)
+            return
         request = models.Request(
             method=self._parser.get_method(),
             target=self._request_target,
             fields=self._header_fields,
-            body=bytes(self._body),
+            body=self._reception.body.take(),
             arrived_s=self._request_arrived_s,
         )
-        self._body = bytearray()
-        if self._is_ambiguous(request):
+        exchange = pipeline.Exchange(
+            request=request,
+            keeps_alive=self._parser.should_keep_alive(),
+            lease=lease,
+        )
+        if request.is_ambiguous:
+            exchange.release_memory()
             self._reject(400)
             return
-        self._pipeline.add(
-            pipeline.Exchange(
-                request=request, keeps_alive=self._parser.should_keep_alive()
-            )
-        )
+        self._pipeline.add(exchange)
         if self._pipeline.is_full and self._transport is not None:
             self._transport.pause_reading()
         self._start_handling()
 
-    def _is_ambiguous(self, request: models.Request) -> bool:
-        """Return whether its framing or host could be read in two ways."""
-        field_names = [name for name, _ in request.fields]
-        if (
-            field_names.count(b"host") > 1
-            or field_names.count(b"content-length") > 1
-        ):
-            return True
-        return (
-            b"content-length" in field_names
-            and b"transfer-encoding" in field_names
-        )
-
     def _count_header_bytes(self, size_bytes: int) -> None:
         self._header_bytes += size_bytes
         if self._header_bytes > self._server.limits.header_bytes:
@@ -242,8 +271,8 @@
 
     @property
     def _is_parsing_blocked(self) -> bool:
-        """Return whether further requests have to wait for responses."""
-        return self._pipeline.is_full
+        """Return whether requests wait for responses or for memory."""
+        return self._pipeline.is_full or self._reception.is_waiting
 
     def _start_handling(self) -> None:
         for exchange in self._pipeline.take_startable():
@@ -266,8 +295,13 @@
             # All requests that were read are answered before the connection
             # closes; later ones count as not read.
             self._pipeline.close()
-        while (exchange := self._pipeline.pop_complete()) is not None:
-            self._write_response(exchange)
+        while (
+            not self._unsent.is_paused
+            and (exchange := self._pipeline.pop_complete()) is not None
+        ):
+            if self._transport is not None:
+                response_writing.write(self._transport, exchange)
+            exchange.release_memory()
         self._hold_waiting()
         if self._transport is None or self._transport.is_closing():
             return
@@ -315,30 +349,12 @@
             )
             return handling.CallerResponse(status=500)
 
-    def _write_response(self, exchange: pipeline.Exchange) -> None:
-        response = exchange.response
-        if (
-            response is None
-            or self._transport is None
-            or self._transport.is_closing()
-        ):
+    def _refuse(self, status: int) -> None:
+        """Reject a partly received request, which has not run."""
+        if self._is_rejected or self._transport is None:
             return
-        is_closing = not exchange.keeps_alive
-        header = wire.encode_response_header(
-            status=response.status,
-            fields=response.fields,
-            body_bytes=len(response.body),
-            is_closing=is_closing,
-        )
-        if exchange.request is not None and exchange.request.method == b"HEAD":
-            self._transport.write(header)
-        elif len(response.body) > _MAX_COPIED_BODY_BYTES:
-            self._transport.write(header)
-            self._transport.write(response.body)
-        else:
-            self._transport.write(header + response.body)
-        if is_closing:
-            self._transport.close()
+        self._reception.log_refusal(status, self._transport)
+        self._reject(status)
 
     def _reject(self, status: int) -> None:
         """Respond to an unacceptable request and close the connection.
@@ -350,6 +366,7 @@
         if self._is_rejected or self._transport is None:
             return
         self._is_rejected = True
+        self._reception.abandon()
         self._discard_input()
         self._cancel_timeout()
         self._transport.pause_reading()
--- a/trefoilstand/http/handling.py
+++ b/trefoilstand/http/handling.py
@@ -34,7 +34,7 @@
 
     status: int
     fields: models.HeaderFields = dataclasses.field(default_factory=list)
-    body: bytes = b""
+    body: models.Body = b""
 
 
 class RequestHandler(abc.ABC):
@@ -46,3 +46,12 @@
 
         The call is cancelled when the caller disconnects.
         """
+
+    def caller_timeout_s(self, fields: models.HeaderFields) -> float | None:
+        """Return how long a caller waits, in seconds, None if unknown.
+
+        Requests whose body takes longer are refused.
+
+        :param fields: header fields of the request.
+        """
+        return None
--- a/trefoilstand/http/input_scheduler.py
+++ b/trefoilstand/http/input_scheduler.py
@@ -25,6 +25,9 @@
         #: Connections that wait for a slice, in the order of their turns.
         self._waiting: dict[ScheduledProtocol, None] = {}
         self._is_run_scheduled = False
+        #: Connections read into this one after the other, so that bytes which
+        #: cannot be parsed yet stay out of the memory of the process.
+        self.read_buffer = memoryview(bytearray(SLICE_BYTES))
 
     def add(self, protocol: "ScheduledProtocol") -> None:
         """Schedule a slice for a connection unless it waits for one.
@@ -51,7 +54,7 @@
             self._schedule_run()
 
 
-class ScheduledProtocol(asyncio.Protocol, abc.ABC):
+class ScheduledProtocol(asyncio.BufferedProtocol, abc.ABC):
     """Parse received bytes in slices, and read on once that is done.
 
     A small amount of input is parsed when it arrives.  A fragmented connection
@@ -93,6 +96,18 @@
         """Store the transport of the opened connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the memory to read into, which is parsed or copied then."""
+        return self._input_scheduler.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read into the buffer, or schedule it."""
+        data = self._input_scheduler.read_buffer[:nbytes]
+        if self._is_fragmented or len(self._unparsed_input):
+            self.data_received(bytes(data))
+        else:
+            self._parse_slice(data)
+
     def data_received(self, data: bytes) -> None:
         """Parse a small amount of input, or schedule it."""
         if self.has_unparsed_input:
--- a/trefoilstand/http/models.py
+++ b/trefoilstand/http/models.py
@@ -5,6 +5,20 @@
 import typing
 
 HeaderFields = list[tuple[bytes, bytes]]
+#: Complete body; a view of its memory if it is large.
+Body = bytes | memoryview
+
+
+def find_field(fields: HeaderFields, name: bytes) -> bytes | None:
+    """Return the first value of a header field, None if absent.
+
+    :param fields: header fields, names in lower case.
+    :param name: field name in lower case.
+    """
+    for field_name, value in fields:
+        if field_name == name:
+            return value
+    return None
 
 
 class ConnectionFault(enum.StrEnum):
@@ -44,17 +58,14 @@
 
     status: int
     fields: HeaderFields
-    body: bytes
+    body: Body
 
     def find_field(self, name: bytes) -> bytes | None:
         """Return the first value of a header field, None if absent.
 
         :param name: field name in lower case.
         """
-        for field_name, value in self.fields:
-            if field_name == name:
-                return value
-        return None
+        return find_field(self.fields, name)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -71,7 +82,7 @@
     method: bytes
     target: bytes
     fields: HeaderFields
-    body: bytes
+    body: Body
     arrived_s: float
 
     @property
@@ -79,12 +90,23 @@
         """Return the path of the request target, without the query."""
         return self.target.partition(b"?")[0]
 
+    @property
+    def is_ambiguous(self) -> bool:
+        """Return whether its framing or host could be read in two ways."""
+        field_names = [name for name, _ in self.fields]
+        if (
+            field_names.count(b"host") > 1
+            or field_names.count(b"content-length") > 1
+        ):
+            return True
+        return (
+            b"content-length" in field_names
+            and b"transfer-encoding" in field_names
+        )
+
     def find_field(self, name: bytes) -> bytes | None:
         """Return the first value of a header field, None if absent.
 
         :param name: field name in lower case.
         """
-        for field_name, value in self.fields:
-            if field_name == name:
-                return value
-        return None
+        return find_field(self.fields, name)
--- a/trefoilstand/http/outbound_connection.py
+++ b/trefoilstand/http/outbound_connection.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from trefoilstand.http import body_storage
 from trefoilstand.http import buffer_budget
 from trefoilstand.http import errors
 from trefoilstand.http import input_scheduler
@@ -68,7 +69,7 @@
         self._unparsed_bytes = 0
         self._interim_count = 0
         self._foreign_count = 0
-        self._body = bytearray()
+        self._body = body_storage.BodyStorage()
         self._max_body_bytes = MAX_BODY_BYTES
         self._is_length_known = False
         self._is_close_delimited = False
@@ -94,6 +95,7 @@
         *,
         matches: Matcher,
         is_head: bool = False,
+        body: models.Body = b"",
         max_body_bytes: int = MAX_BODY_BYTES,
     ) -> asyncio.Future[models.Response]:
         """Send a request and return the future of its response.
@@ -102,6 +104,7 @@
         aborts the connection, so that the server stops its work.
 
         :param data: encoded request.
+        :param body: body that the encoded request does not contain.
         :param matches: returns whether a response belongs to this request.
         :param is_head: whether the method is HEAD, so that the response
             has no body.
@@ -126,6 +129,8 @@
         self._unparsed_bytes = 0
         future.add_done_callback(self._on_exchange_done)
         self._transport.write(data)
+        if body:
+            self._transport.write(body)
         return future
 
     def close(self) -> None:
@@ -193,7 +198,7 @@
         """Reset the state of the parser callbacks for a new response."""
         self._header_fields = []
         self._header_bytes = 0
-        self._body = bytearray()
+        self._body.clear()
         self._is_length_known = False
         self._is_close_delimited = False
         self._is_in_message = True
@@ -236,10 +241,10 @@
         self._unparsed_bytes = 0
         if self.is_closed:
             return
-        if len(self._body) + len(body) > self._max_body_bytes:
+        if self._body.size_bytes + len(body) > self._max_body_bytes:
             self._fail_exchange(models.ConnectionFault.BODY_TOO_LARGE)
             return
-        self._body += body
+        self._body.append(body)
         if not self._is_length_known:
             self._reserve_body(len(body))
 
@@ -263,7 +268,7 @@
         response = models.Response(
             status=status,
             fields=self._header_fields,
-            body=bytes(self._body),
+            body=self._body.take(),
         )
         if self._matcher is not None and not self._matcher(response):
             self._must_close = True
@@ -294,10 +299,14 @@
     ) -> None:
         self._pending_response = None
         self._matcher = None
-        self._body = bytearray()
+        self._body.clear()
         self._release_buffers()
         if future.cancelled() or future.exception() is not None:
             self.abort()
+        elif self._transport and self._transport.get_write_buffer_size():
+            # What the server has not read of the request would take memory
+            # for as long as it does not read it.
+            self.abort()
         elif (
             self._must_close or self._is_in_message or self.has_unparsed_input
         ):
--- a/trefoilstand/http/pipeline.py
+++ b/trefoilstand/http/pipeline.py
@@ -10,6 +10,7 @@
 import typing
 
 from trefoilstand.http import handling
+from trefoilstand.http import input_admission
 from trefoilstand.http import models
 
 #: Requests of one connection that are handled at the same time.
@@ -25,12 +26,20 @@
     :param keeps_alive: whether the connection may stay open after it.
     :param is_started: whether the request is being handled.
     :param response: complete response, None before it is known.
+    :param lease: memory of the request, None if it takes none.
     """
 
     request: models.Request | None
     keeps_alive: bool
     is_started: bool = False
     response: handling.CallerResponse | None = None
+    lease: input_admission.InputLease | None = None
+
+    def release_memory(self) -> None:
+        """Return the memory of a request that is not needed any more."""
+        if self.lease is not None:
+            self.lease.release()
+            self.lease = None
 
     @property
     def is_safe(self) -> bool:
@@ -75,6 +84,7 @@
         A request behind one that ends the connection counts as not read.
         """
         if self._is_closed:
+            exchange.release_memory()
             return
         self._exchanges.append(exchange)
         self._is_closed = not exchange.keeps_alive
@@ -116,4 +126,6 @@
 
     def clear(self) -> None:
         """Forget all exchanges, as after the loss of the connection."""
+        for exchange in self._exchanges:
+            exchange.release_memory()
         self._exchanges.clear()
--- a/trefoilstand/http/server.py
+++ b/trefoilstand/http/server.py
@@ -4,15 +4,23 @@
 
 from trefoilstand.http import buffer_budget
 from trefoilstand.http import caller_connection
+from trefoilstand.http import connection_limit
 from trefoilstand.http import handling
+from trefoilstand.http import input_admission
 from trefoilstand.http import input_scheduler
 
+#: Part of the connections that may wait to be accepted, as all of those are
+#: accepted before the first is closed for another one.
+_BACKLOG_SHARE = 0.25
+
 
 class Server:
     """Accept connections of callers on one address.
 
     :param handler: produces the responses.
     :param buffers: memory for bodies, None for no limit.
+    :param admission: grants it to requests, None for no limit.
+    :param max_connections: open connections, None for no limit.
     :param scheduler: shares the event loop with other connections, None to
         share it only among those of this server.
     """
@@ -22,14 +30,20 @@
         *,
         handler: handling.RequestHandler,
         buffers: buffer_budget.BufferBudget | None = None,
+        admission: input_admission.InputAdmission | None = None,
+        max_connections: int | None = None,
         scheduler: input_scheduler.InputScheduler | None = None,
     ) -> None:
         self.handler = handler
         self.buffers = buffers
+        self.admission = admission
+        self._max_connections = max_connections
         self.input_scheduler = scheduler or input_scheduler.InputScheduler()
         self.limits = handling.Limits()
         #: Open connections, in the order in which they were accepted.
         self.connections: dict[caller_connection.CallerConnection, None] = {}
+        #: Connections that were closed because there were too many.
+        self.excess_count = 0
         self.is_draining = False
         self._server: asyncio.Server | None = None
 
@@ -41,6 +55,10 @@
         :param backlog: connections that may wait to be accepted.
         :raises OSError: the address cannot be listened on.
         """
+        if self._max_connections is not None:
+            backlog = min(
+                backlog, max(int(self._max_connections * _BACKLOG_SHARE), 1)
+            )
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: caller_connection.CallerConnection(server=self),
@@ -50,6 +68,26 @@
             reuse_address=True,
         )
 
+    def register(self, connection: caller_connection.CallerConnection) -> None:
+        """Add an accepted connection, and close one if there are too many.
+
+        :param connection: accepted connection.
+        """
+        excess: caller_connection.CallerConnection | None = None
+        if (
+            self._max_connections is not None
+            and len(self.connections) >= self._max_connections
+        ):
+            self.excess_count += 1
+            excess = connection_limit.choose_excess(self.connections)
+            if excess is None:
+                connection.give_up()
+                return
+        self.connections[connection] = None
+        if excess is not None:
+            del self.connections[excess]
+            excess.give_up()
+
     @property
     def port(self) -> int:
         """Return the TCP port of the listening socket, 0 without one."""
--- a/trefoilstand/http/wire.py
+++ b/trefoilstand/http/wire.py
@@ -5,6 +5,10 @@
 
 from trefoilstand.http import models
 
+#: Larger bodies are written apart from their header, without a copy.
+MAX_COPIED_BODY_BYTES: typing.Final = 16 * 1024
+#: Digits of a body's length that matter; more exceed any limit.
+_MAX_LENGTH_DIGITS: typing.Final = 18
 #: Hop-by-hop fields, which are not forwarded (RFC 9110, section 7.6.1).
 _HOP_BY_HOP_FIELDS: typing.Final = frozenset(
     {
@@ -52,9 +56,11 @@
     method: bytes,
     target: bytes,
     fields: models.HeaderFields,
-    body: bytes = b"",
+    body: models.Body = b"",
 ) -> bytes:
-    """Return the bytes of a request.
+    """Return the bytes of a request, without a body that is too large to copy.
+
+    Bodies over :data:`MAX_COPIED_BODY_BYTES` are to be written after it.
 
     The content length is added where the request has a body or its method
     expects one.
@@ -69,10 +75,37 @@
         parts += (name, b": ", value, b"\r\n")
     if body or method not in _METHODS_WITHOUT_BODY:
         parts.append(b"content-length: %d\r\n" % len(body))
-    parts += (b"\r\n", body)
+    parts.append(b"\r\n")
+    if len(body) <= MAX_COPIED_BODY_BYTES:
+        parts.append(bytes(body))
     return b"".join(parts)
 
 
+def read_expectations(fields: models.HeaderFields) -> tuple[int, bool]:
+    """Return the announced size of a body, and whether status 100 is due.
+
+    :param fields: header fields of a request, names in lower case.
+    :returns: size in bytes, 0 if none is announced, and whether the caller
+        expects status 100 before it sends the body.
+    """
+    size_bytes = 0
+    expects_continue = False
+    for name, value in fields:
+        if name == b"content-length" and value.isdigit():
+            size_bytes = int(value[:_MAX_LENGTH_DIGITS])
+        elif name == b"expect" and value.lower() == b"100-continue":
+            expects_continue = True
+    return size_bytes, expects_continue
+
+
+def uncopied_body(body: models.Body) -> models.Body:
+    """Return the body if :func:`encode_request` leaves it out.
+
+    :param body: body of the request.
+    """
+    return body if len(body) > MAX_COPIED_BODY_BYTES else b""
+
+
 def encode_response_header(
     *,
     status: int,
--- a/trefoilstand/platform/settings.py
+++ b/trefoilstand/platform/settings.py
@@ -18,6 +18,9 @@
 #: Memory limit assumed where the file names none; the smallest hosts have
 #: this much.
 _DEFAULT_MEMORY_MB: typing.Final = 200
+#: Descriptor limit assumed where the file names none, as that of the smallest
+#: hosts.
+_DEFAULT_DESCRIPTORS: typing.Final = 4100
 #: Interval of the targets' heartbeats assumed where the file names none.
 _DEFAULT_HEARTBEAT: typing.Final = "1500ms"
 _BYTES_PER_MB: typing.Final = 1024 * 1024
@@ -44,6 +47,7 @@
 def _convert_settings(raw: dict[str, typing.Any]) -> settings.GatewaySettings:
     bounds = dict(bound.split("=", 1) for bound in raw["bounds"])
     listen = raw["listen"]
+    limits = raw.get("limits") or {}
     ip = raw["ip"]
     first_port = int(raw["internal-ports"][0])
     peer_port = first_port + _PEER_PORT_OFFSET
@@ -80,10 +84,9 @@
             bounds.get("budget-window", "10s")
         ),
         probes_per_target_s=float(bounds.get("probes-per-s", "10")),
-        memory_limit_bytes=int(
-            (raw.get("limits") or {}).get("memory-mb", _DEFAULT_MEMORY_MB)
-        )
+        memory_limit_bytes=int(limits.get("memory-mb", _DEFAULT_MEMORY_MB))
         * _BYTES_PER_MB,
+        descriptor_limit=int(limits.get("max-fds", _DEFAULT_DESCRIPTORS)),
     )
 
 
--- a/trefoilstand/platform/store.py
+++ b/trefoilstand/platform/store.py
@@ -164,7 +164,7 @@
                 f" expected {_OK}"
             )
         try:
-            return _decode_page(response.body, field)
+            return _decode_page(bytes(response.body), field)
         except values.MALFORMED_ERRORS as error:
             raise store.StoreError(
                 f"{path} of store {self._endpoint}: malformed content,"
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -89,6 +89,15 @@
     parts: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InputRefused(Event):
+    """Record that a partly received request was refused before it ran."""
+
+    peer: str
+    status: int
+    received_bytes: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class InvariantBroken(Event):
     """Record that an internal consistency check failed."""
