--- a/trefoilstand/http/input_admission.py
+++ b/trefoilstand/http/input_admission.py
@@ -17,6 +17,8 @@
 #: others that wait for memory.
 _MIN_PROGRESS_BYTES: typing.Final = 16 * 1024
 _MIN_PROGRESS_INTERVAL_S: typing.Final = 0.5
+#: After a longer time between two checks, the process has been suspended.
+_MAX_CHECK_INTERVAL_S: typing.Final = 1.0
 #: Received bytes that a connection which waits may hold in the system's
 #: socket buffer, besides its memory in this process.
 _WAITING_BYTES: typing.Final = 128 * 1024
@@ -126,6 +128,7 @@
             _MIN_WAITING,
         )
         self._next_number = 0
+        self._checked_s = 0.0
         #: Requests that are not complete, and those of them that wait.
         self._incomplete: dict[InputLease, None] = {}
         self._waiting: dict[InputLease, None] = {}
@@ -225,6 +228,11 @@
 
         :param now_s: monotonic time.
         """
+        if now_s - self._checked_s > _MAX_CHECK_INTERVAL_S:
+            # The process did not run, so it read nothing meanwhile.
+            for lease in self._incomplete:
+                lease.marked_s = None
+        self._checked_s = now_s
         stalled = [
             lease
             for lease in self._incomplete
@@ -251,20 +259,19 @@
         ):
             return
         first = self._first_waiting()
-        others = [
-            lease
-            for lease in self._waiting
-            if lease is not first and lease.held_bytes
-        ]
-        others_bytes = sum(lease.held_bytes for lease in others)
-        if others and self._fits(first, first.wanted_bytes - others_bytes):
-            self._refuse(
-                min(
-                    others,
-                    key=lambda lease: (lease.received_bytes, -lease.number),
-                ),
-                STATUS_NO_PROGRESS,
+        holders = [lease for lease in self._waiting if lease.held_bytes]
+        others_bytes = sum(
+            lease.held_bytes for lease in holders if lease is not first
+        )
+        # Otherwise requests that run hold the memory, and return it later.
+        if others_bytes and self._fits(
+            first, first.wanted_bytes - others_bytes
+        ):
+            least = min(
+                holders,
+                key=lambda lease: (lease.received_bytes, -lease.number),
             )
+            self._refuse(least, STATUS_NO_PROGRESS)
 
     def _first_waiting(self) -> InputLease:
         return min(self._waiting, key=_grant_order)
