--- a/features/gateway/callers_edge.feature
+++ b/features/gateway/callers_edge.feature
@@ -77,3 +77,23 @@
     Given a server that echoes requests
     When a caller sends a body of 8 MB and reads the response over 7 s
     Then it has read the whole body
+
+  # A body that stopped before its end kept its memory for ever.
+  Scenario Outline: A body that does not arrive in time
+    Given a server that echoes requests
+    When a caller that waits <wait> ms stops within its body
+    Then it responds with 408 and the connection closes
+    And 0 requests were handled
+
+    Examples:
+      | wait  |
+      | 300   |
+      # The body has stalled for the idle timeout before the caller gives up.
+      | 60000 |
+
+  # The whole body was read first.
+  Scenario: A body whose announced length is over the limit
+    Given a server that echoes requests
+    When a caller asks to send a body of 5000 bytes
+    Then it responds with 413 and the connection closes
+    And 0 requests were handled
--- a/features/steps/callers_edge_steps.py
+++ b/features/steps/callers_edge_steps.py
@@ -47,6 +47,10 @@
         self.handled = 0
         self.delay_s = 0.0
         self.fails = False
+        self.timeout_s = None
+
+    def caller_timeout_s(self, fields):
+        return self.timeout_s
 
     async def handle(self, request):
         self.handled += 1
@@ -63,7 +67,10 @@
         context.handler = _EchoHandler()
         listener = server.Server(handler=context.handler)
         listener.limits = handling.Limits(
-            header_bytes=2000, body_bytes=4000, header_timeout_s=0.3
+            header_bytes=2000,
+            body_bytes=4000,
+            header_timeout_s=0.3,
+            idle_timeout_s=context.idle_timeout_s,
         )
         await listener.start(ip="127.0.0.1", port=0, backlog=16)
         reader, writer = await asyncio.open_connection(
@@ -81,6 +88,35 @@
 @given("a server that echoes requests")
 def echo_server(context):
     context.responses = []
+    context.idle_timeout_s = 15.0
+
+
+@when("a caller that waits {wait_ms:d} ms stops within its body")
+def stop_within_body(context, wait_ms):
+    context.idle_timeout_s = 0.5
+
+    async def exchange(_listener, reader, writer):
+        context.handler.timeout_s = wait_ms / 1000
+        writer.write(_HEAD + b"Content-Length: 5\r\n\r\nhell")
+        response = await scripted_http.read_response(reader)
+        context.trailing_bytes = await asyncio.wait_for(reader.read(), 3)
+        return response
+
+    context.responses = [_run(context, exchange)]
+
+
+@when("a caller asks to send a body of {size:d} bytes")
+def ask_to_send(context, size):
+    async def exchange(_listener, reader, writer):
+        writer.write(
+            _HEAD
+            + b"Expect: 100-continue\r\nContent-Length: %d\r\n\r\n" % size
+        )
+        response = await scripted_http.read_response(reader)
+        context.trailing_bytes = await asyncio.wait_for(reader.read(), 3)
+        return response
+
+    context.responses = [_run(context, exchange)]
 
 
 @when("{count:d} requests are pipelined")
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -187,7 +187,9 @@
             handler=handler,
             buffers=self.buffers,
             admission=self.admission,
-            max_connections=resource_limits.PAGE_CONNECTIONS,
+            max_connections=resource_limits.max_page_connections(
+                self._settings.descriptor_limit
+            ),
             scheduler=self._input_scheduler,
         )
         page_server.limits = handling.Limits(
--- a/trefoilstand/gateway/resource_limits.py
+++ b/trefoilstand/gateway/resource_limits.py
@@ -15,12 +15,12 @@
 _SMALL_BODY_SHARE: typing.Final = 0.125
 #: Descriptors that are kept for files.
 _FILE_DESCRIPTORS: typing.Final = 200
-#: Share of the other descriptors for connections of callers; the rest is for
-#: those to targets and peers, and for connections about to be closed.
+#: Share of the other descriptors for connections of callers; what no share
+#: names is for targets, peers and connections about to be closed.
 _CALLER_SHARE: typing.Final = 0.6
-#: Connections to a page at the same time, and the largest body sent to one,
-#: as pages take none.
-PAGE_CONNECTIONS: typing.Final = 64
+#: Share of them for connections to one page, such as that of addresses.
+_PAGE_SHARE: typing.Final = 0.1
+#: Largest body of a request for a page; pages take none.
 PAGE_BODY_BYTES: typing.Final = 16 * 1024
 
 
@@ -44,4 +44,16 @@
 
     :param descriptor_limit: descriptors that the process may use.
     """
-    return max(int((descriptor_limit - _FILE_DESCRIPTORS) * _CALLER_SHARE), 1)
+    return _share_descriptors(descriptor_limit, _CALLER_SHARE)
+
+
+def max_page_connections(descriptor_limit: int) -> int:
+    """Return how many connections to one page may be open.
+
+    :param descriptor_limit: descriptors that the process may use.
+    """
+    return _share_descriptors(descriptor_limit, _PAGE_SHARE)
+
+
+def _share_descriptors(descriptor_limit: int, share: float) -> int:
+    return max(int((descriptor_limit - _FILE_DESCRIPTORS) * share), 1)
--- a/trefoilstand/http/caller_connection.py
+++ b/trefoilstand/http/caller_connection.py
@@ -113,7 +113,11 @@
         """Count a partly received request, which may have to wait."""
         if self._transport is None:
             return
-        self._reception.count(self._header_memory_bytes, self._transport)
+        self._reception.count(
+            self._header_memory_bytes,
+            self._transport,
+            is_fragmented=self._is_fragmented,
+        )
         if self._is_rejected:
             return
         if self._reception.is_waiting:
--- a/trefoilstand/http/request_reception.py
+++ b/trefoilstand/http/request_reception.py
@@ -11,9 +11,13 @@
 from trefoilstand.http import input_admission
 from trefoilstand.telemetry import events
 
-#: Socket buffer of a connection with a large body.  While the connection is
-#: not read, the system would otherwise receive up to 32 MiB for it.
-_SOCKET_BUFFER_BYTES: typing.Final = 128 * 1024
+#: Receive buffer of an accepted socket; the system adds as much again.  All
+#: connections of a host may fill theirs at once.
+SOCKET_BUFFER_BYTES: typing.Final = 16 * 1024
+#: Receive buffer while a larger body is received, which allows 8 MB/s at a
+#: round trip of 16 ms.  Without it the system would receive up to 32 MiB for
+#: a connection that is not read.
+_LARGE_SOCKET_BUFFER_BYTES: typing.Final = 128 * 1024
 #: Memory of one header field besides its name and value, as it is parsed.
 FIELD_OVERHEAD_BYTES: typing.Final = 160
 #: Once a body seems to have stalled, time to read what arrived while the
@@ -45,6 +49,7 @@
         self._stall_timeout_s = 0.0
         self._checked_bytes = -1
         self._is_rechecking = False
+        self._has_large_socket_buffer = False
         self.body = body_storage.BodyStorage()
 
     @property
@@ -63,27 +68,51 @@
         :param total_bytes: size of the request with its body.
         :param transport: connection that it is received on.
         """
-        if self._admission is None or (
-            total_bytes <= buffer_budget.MAX_SMALL_BYTES
-        ):
+        if self._admission is None or total_bytes <= SOCKET_BUFFER_BYTES:
             return
-        _limit_socket_buffer(transport)
-        self._open_lease(self._admission).reserve(total_bytes)
+        if total_bytes > buffer_budget.MAX_SMALL_BYTES:
+            lease = self._lease or self._open_lease(self._admission)
+            if not lease.reserve(total_bytes):
+                return
+        self._enlarge_socket_buffer(transport)
 
-    def count(self, header_bytes: int, transport: asyncio.Transport) -> None:
+    def count(
+        self,
+        header_bytes: int,
+        transport: asyncio.Transport,
+        *,
+        is_fragmented: bool,
+    ) -> None:
         """Count what was received of an incomplete request.
 
         :param header_bytes: memory of its header section.
         :param transport: connection that it is received on.
+        :param is_fragmented: whether the input is expensive to parse, so that
+            much of it waits in the socket buffer.
         """
         if self._admission is None:
             return
         total_bytes = header_bytes + self.body.size_bytes
+        if is_fragmented:
+            total_bytes += _LARGE_SOCKET_BUFFER_BYTES
         lease = self._lease or self._open_lease(self._admission)
-        was_large = lease.is_large
-        lease.receive(total_bytes)
-        if lease.is_large and not was_large:
-            _limit_socket_buffer(transport)
+        if (
+            lease.receive(total_bytes)
+            and self.body.size_bytes > SOCKET_BUFFER_BYTES
+        ):
+            self._enlarge_socket_buffer(transport)
+
+    def _enlarge_socket_buffer(self, transport: asyncio.Transport) -> None:
+        if self._has_large_socket_buffer:
+            return
+        self._has_large_socket_buffer = True
+        raw_socket = transport.get_extra_info("socket")
+        if raw_socket is not None:
+            raw_socket.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_RCVBUF,
+                _LARGE_SOCKET_BUFFER_BYTES,
+            )
 
     def complete(self) -> input_admission.InputLease | None:
         """End the reception of a request that is complete.
@@ -203,11 +232,3 @@
 
 def _ignore_grant() -> None:
     return
-
-
-def _limit_socket_buffer(transport: asyncio.Transport) -> None:
-    raw_socket = transport.get_extra_info("socket")
-    if raw_socket is not None:
-        raw_socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, _SOCKET_BUFFER_BYTES
-        )
--- a/trefoilstand/http/server.py
+++ b/trefoilstand/http/server.py
@@ -1,6 +1,8 @@
 """HTTP server for the requests of callers on one event loop."""
 
 import asyncio
+import socket
+import typing
 
 from trefoilstand.http import buffer_budget
 from trefoilstand.http import caller_connection
@@ -8,10 +10,11 @@
 from trefoilstand.http import handling
 from trefoilstand.http import input_admission
 from trefoilstand.http import input_scheduler
+from trefoilstand.http import request_reception
 
 #: Part of the connections that may wait to be accepted, as all of those are
 #: accepted before the first is closed for another one.
-_BACKLOG_SHARE = 0.25
+_BACKLOG_SHARE: typing.Final = 0.5
 
 
 class Server:
@@ -67,6 +70,13 @@
             backlog=backlog,
             reuse_address=True,
         )
+        if self.admission is not None:
+            # Accepted sockets inherit it.
+            self._server.sockets[0].setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_RCVBUF,
+                request_reception.SOCKET_BUFFER_BYTES,
+            )
 
     def register(self, connection: caller_connection.CallerConnection) -> None:
         """Add an accepted connection, and close one if there are too many.
