--- a/trefoilstand/gateway/settings.py
+++ b/trefoilstand/gateway/settings.py
@@ -48,6 +48,7 @@
         all hosts together.
     :param memory_limit_bytes: memory that the process may use.
     :param link_bytes_per_s: rate of the host's link.
+    :param descriptor_limit: file descriptors that the process may use.
     """
 
     host_name: str
@@ -70,3 +71,4 @@
     probes_per_target_s: float
     memory_limit_bytes: int
     link_bytes_per_s: float
+    descriptor_limit: int
--- a/trefoilstand/platform/store.py
+++ b/trefoilstand/platform/store.py
@@ -185,7 +185,9 @@
                 f" expected {_OK}"
             )
         try:
-            return _decode_page(response.body, field, _decode_era(response))
+            return _decode_page(
+                bytes(response.body), field, _decode_era(response)
+            )
         except values.MALFORMED_ERRORS as error:
             raise store.StoreError(
                 f"{path} of store {self._endpoint}: malformed content,"
