--- a/features/http/input_admission.feature
+++ b/features/http/input_admission.feature
@@ -77,6 +77,13 @@
     And requests come: b completes 20 KiB
     Then b is refused with 503
 
+  Scenario: A request that is complete with its first bytes counts too
+    Given 100 KiB for requests, 10 of them for small ones
+    When requests come: a brings 50, b announces 80, c brings 60 KiB
+    Then c is refused with 503
+    When a is answered
+    Then b is read
+
   Scenario: Any sequence keeps the bound and ends without leases
     Given 1000 KiB for requests, 100 of them for small ones
     When 20000 random steps of up to 12 requests are made
--- a/features/steps/input_admission_steps.py
+++ b/features/steps/input_admission_steps.py
@@ -47,6 +47,13 @@
         context.leases.pop(name).release()
 
 
+def _hold_complete(context, name, size_bytes):
+    try:
+        context.leases[name] = context.admission.hold_complete(size_bytes)
+    except MemoryError:
+        context.refused[name] = input_admission.STATUS_NO_MEMORY
+
+
 @when("requests come: {steps} KiB")
 def act(context, steps):
     for name, verb, size in re.findall(r"(\w) (\w+) (\d+)", steps):
@@ -55,6 +62,8 @@
             _lease(context, name).reserve(size_bytes)
         elif verb == "receives":
             _lease(context, name).receive(size_bytes)
+        elif verb == "brings":
+            _hold_complete(context, name, size_bytes)
         else:
             _complete(context, name, size_bytes)
 
--- a/trefoilstand/http/caller_connection.py
+++ b/trefoilstand/http/caller_connection.py
@@ -208,9 +208,10 @@
         if size_bytes > self._server.limits.body_bytes:
             self._refuse(413)
             return
-        self._reception.announce(
-            size_bytes + self._header_memory_bytes, self._transport
-        )
+        if size_bytes > request_reception.SOCKET_BUFFER_BYTES:
+            self._reception.announce(
+                size_bytes + self._header_memory_bytes, self._transport
+            )
         if expects_continue and not self._is_rejected:
             self._transport.write(_CONTINUE_RESPONSE)
 
@@ -220,10 +221,8 @@
         if self._is_rejected:
             return
         reception = self._reception
-        if (
-            reception.received_bytes + len(body)
-            > self._server.limits.body_bytes
-        ):
+        size_bytes = reception.received_bytes + len(body)
+        if size_bytes > self._server.limits.body_bytes:
             self._refuse(413)
             return
         try:
--- a/trefoilstand/http/input_admission.py
+++ b/trefoilstand/http/input_admission.py
@@ -31,6 +31,28 @@
 STATUS_NO_MEMORY: typing.Final = 503
 
 
+class HeldMemory:
+    """Memory of a request that was complete with its first bytes.
+
+    :param budget: budget that the memory belongs to.
+    :param size_bytes: size of the request.
+    """
+
+    __slots__ = ("_budget", "_size_bytes")
+
+    def __init__(
+        self, *, budget: buffer_budget.BufferBudget, size_bytes: int
+    ) -> None:
+        self._budget = budget
+        self._size_bytes = size_bytes
+
+    def release(self) -> None:
+        """Return the memory."""
+        self._budget.take(-self._size_bytes)
+        self._size_bytes = 0
+        self._budget.grant_waiting()
+
+
 class InputLease:
     """Memory of one request.
 
@@ -161,6 +183,19 @@
         self._incomplete[lease] = None
         return lease
 
+    def hold_complete(self, size_bytes: int) -> HeldMemory:
+        """Count a request without a lease that is about to run.
+
+        :param size_bytes: size of the whole request.
+        :raises MemoryError: there is no memory for it.
+        """
+        if not self._budget.has_room(
+            size_bytes, is_small=size_bytes <= buffer_budget.MAX_SMALL_BYTES
+        ):
+            raise MemoryError
+        self._budget.take(size_bytes)
+        return HeldMemory(budget=self._budget, size_bytes=size_bytes)
+
     def reserve(self, lease: InputLease, total_bytes: int) -> bool:
         """Ask for memory; see :meth:`InputLease.reserve`."""
         if lease.is_waiting or total_bytes <= lease.held_bytes:
--- a/trefoilstand/http/pipeline.py
+++ b/trefoilstand/http/pipeline.py
@@ -33,7 +33,9 @@
     keeps_alive: bool
     is_started: bool = False
     response: handling.CallerResponse | None = None
-    lease: input_admission.InputLease | None = None
+    lease: input_admission.InputLease | input_admission.HeldMemory | None = (
+        None
+    )
 
     def release_memory(self) -> None:
         """Return the memory of a request that is not needed any more."""
--- a/trefoilstand/http/request_reception.py
+++ b/trefoilstand/http/request_reception.py
@@ -68,7 +68,7 @@
         :param total_bytes: size of the request with its body.
         :param transport: connection that it is received on.
         """
-        if self._admission is None or total_bytes <= SOCKET_BUFFER_BYTES:
+        if self._admission is None:
             return
         if total_bytes > buffer_budget.MAX_SMALL_BYTES:
             lease = self._lease or self._open_lease(self._admission)
@@ -114,7 +114,9 @@
                 _LARGE_SOCKET_BUFFER_BYTES,
             )
 
-    def complete(self) -> input_admission.InputLease | None:
+    def complete(
+        self,
+    ) -> input_admission.InputLease | input_admission.HeldMemory | None:
         """End the reception of a request that is complete.
 
         :returns: memory of the request, to be released with its response;
@@ -124,11 +126,10 @@
         self._stop_timer()
         body_bytes = self.body.size_bytes
         lease, self._lease = self._lease, None
-        if self._admission is None or (lease is None and not body_bytes):
-            return None
         if lease is None:
-            lease = self._open_lease(self._admission)
-            self._lease = None
+            if self._admission is None or not body_bytes:
+                return None
+            return self._admission.hold_complete(body_bytes)
         if not lease.complete(body_bytes):
             lease.release()
             raise MemoryError
