--- a/features/steps/input_scheduler_steps.py
+++ b/features/steps/input_scheduler_steps.py
@@ -224,6 +224,7 @@
 )
 def upload_in_small_chunks(context, count, run_s):
     context.other_times_s = []
+    is_over = asyncio.Event()
 
     async def upload(port):
         _, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -240,7 +241,9 @@
             writer.transport.abort()
 
     async def measure(port):
-        while True:
+        # Ends by itself: `asyncio.wait_for` may lose a cancellation that comes
+        # at the moment of a response, and the scenario would wait for good.
+        while not is_over.is_set():
             started_s = time.monotonic()
             await scripted_http.send_request(
                 port, b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -256,7 +259,8 @@
         ]
         tasks.append(asyncio.create_task(measure(http_server.port)))
         await asyncio.sleep(run_s)
-        for task in tasks:
+        is_over.set()
+        for task in tasks[:count]:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         http_server.stop_listening()
