--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A host keeps sending work to an upstream whose answers say it leaves."""
+"""Hosts keep sending work to an upstream whose answers say it leaves."""
 
 import asyncio
 import pathlib
@@ -10,25 +10,34 @@
 
 import standins_2 as standins  # noqa: E402
 
+HOSTS = 3
 DRAIN_S = 2.0
-#: Time after the drain period for which the upstream goes on serving.
-EXTRA_S = 2.5
-REQUESTS_PER_S = 55
-DAY_S = 10.0
+#: The upstream is gone this long after its notice, as its zone is reclaimed.
+NOTICE_S = 2.5
+OUTAGE_S = 4.5
+#: The upstream that stays finishes 40 requests a second.
+REQUESTS_PER_S = 70
+DAY_S = 8.0
+OUTAGE_AT_S = 1.7
 NOTICE_AT_S = 2.0
 
 
 class Traffic:
-    """Send unsafe requests at a steady rate, and note their answers."""
+    """Send unsafe requests at a steady rate, and note their answers.
 
-    def __init__(self, *, host, record):
-        self._host = host
+    :param hosts: entry hosts that get them in turn.
+    :param record: record of the case.
+    """
+
+    def __init__(self, *, hosts, record):
+        self._hosts = hosts
         self._record = record
-        #: Send times and statuses by request id.
+        #: Host, send time and status of each request.
+        self.hosts = {}
         self.sent_s = {}
         self.statuses = {}
-        #: When the host first passed on that an upstream leaves.
-        self.told_s = None
+        #: When each host first passed on that an upstream leaves.
+        self.told_s = {}
 
     async def run(self):
         """Send requests for the whole case."""
@@ -37,74 +46,91 @@
         number = 0
         while (elapsed_s := time.monotonic() - started_s) < DAY_S:
             while number < elapsed_s * REQUESTS_PER_S:
-                tasks.append(asyncio.create_task(self._send(f"q-{number}")))
+                host = self._hosts[number % len(self._hosts)]
+                tasks.append(
+                    asyncio.create_task(self._send(host, f"q-{number}"))
+                )
                 number += 1
             await asyncio.sleep(0.005)
         await asyncio.gather(*tasks)
 
-    async def _send(self, request_id):
+    async def _send(self, host, request_id):
+        self.hosts[request_id] = host.name
         self.sent_s[request_id] = time.monotonic()
-        self._record.add("sent", request_id)
-        status, fields, _ = await standins.send(
-            self._host, request_id, "/lodge/x"
-        )
+        self._record.add("sent", request_id, "to", host.name)
+        status, fields, _ = await standins.send(host, request_id, "/lodge/x")
         self.statuses[request_id] = status
-        is_told = "server-leaving" in fields
-        if is_told and self.told_s is None:
-            self.told_s = time.monotonic()
-        note = "server-leaving" if is_told else ""
+        note = ""
+        if "server-leaving" in fields:
+            note = "server-leaving"
+            self.told_s.setdefault(host.name, time.monotonic())
         self._record.add("answered", request_id, status, note)
 
 
 async def leave(deployment, upstream, record):
-    """Announce the leaving of an upstream, and end it later."""
+    """Give an upstream its notice, and end it when that is over."""
+    store = deployment.store
     upstream.is_leaving = True
     upstream.state = "draining"
-    deployment.store.put(upstream.key, upstream.entry())
-    record.add("the store accepted the draining of", upstream.upstream_id)
-    await asyncio.sleep(DRAIN_S + EXTRA_S)
+    record.add(upstream.upstream_id, "leaves, and says so in its answers")
+    is_reported = not store.refused_ips
+    if is_reported:
+        store.put(upstream.key, upstream.entry())
+        record.add("the store accepted its report")
+    await asyncio.sleep(NOTICE_S)
     running = upstream.running
     upstream.stop()
-    deployment.store.remove(upstream.key)
     record.add("ended", upstream.upstream_id, "with", running, "running")
+    if is_reported:
+        store.remove(upstream.key)
+
+
+async def go_down(store, hosts, record):
+    """Let the store refuse all calls for a while."""
+    store.refused_ips.update(host.ip for host in hosts)
+    record.add("the store is down")
+    await asyncio.sleep(OUTAGE_S)
+    store.refused_ips.clear()
+    record.add("the store is back")
 
 
 async def run(record):
-    """Let an upstream leave while the store turns the host away."""
-    deployment = standins.Deployment(record=record, hosts=1)
-    leaver, *_ = [
-        deployment.add_upstream(service="lodge-svc", work_s=0.1, slots=4)
-        for _ in range(2)
-    ]
-    host = deployment.hosts[0]
+    """Let an upstream leave while the store is down; True if it gets work."""
+    deployment = standins.Deployment(record=record, hosts=HOSTS)
+    deployment.add_upstream(service="lodge-svc", work_s=0.1, slots=4)
+    leaver = deployment.add_upstream(
+        service="lodge-svc", work_s=0.1, slots=4, zone="z-b"
+    )
     try:
         await deployment.start(
             {"lodge": standins.make_route("/lodge/", "lodge-svc")}
         )
-        traffic = Traffic(host=host, record=record)
+        traffic = Traffic(hosts=deployment.hosts, record=record)
         sending = asyncio.create_task(traffic.run())
-        await asyncio.sleep(NOTICE_AT_S - 0.3)
+        await asyncio.sleep(OUTAGE_AT_S)
+        outage = None
         if standins.is_troubled():
-            deployment.store.refused_ips.add(host.ip)
-            record.add("the store turns away", host.name)
-        await asyncio.sleep(0.3)
+            outage = asyncio.create_task(
+                go_down(deployment.store, deployment.hosts, record)
+            )
+        await asyncio.sleep(NOTICE_AT_S - OUTAGE_AT_S)
         await leave(deployment, leaver, record)
         await sending
-        if traffic.told_s is None:
-            # The host has sent the upstream nothing since its notice.
-            return False
+        if outage is not None:
+            await outage
         late = [
             request_id
             for request_id, _ in leaver.runs
-            if traffic.sent_s[request_id] > traffic.told_s + DRAIN_S
+            if (host := traffic.hosts[request_id]) in traffic.told_s
+            and traffic.sent_s[request_id] > traffic.told_s[host] + DRAIN_S
         ]
         lost = [
             request_id
-            for request_id, status in traffic.statuses.items()
-            if status in (0, 502, 504)
+            for request_id, _ in leaver.runs
+            if traffic.statuses[request_id] != 200
         ]
-        record.add("runs there, sent later than drain:", len(late))
-        record.add("requests that ran and got no answer of it:", len(lost))
+        record.add("runs there, sent later than drain:", len(late), *late)
+        record.add("runs there without their answer:", len(lost), *lost)
         return bool(late)
     finally:
         deployment.stop()
