Deliver the last response of a connection before it is closed

Cause: the connection was closed right behind its last response. A socket that is closed with unread input, or gets input later, is reset, and the system drops what it has not delivered. Fix: a connection ends its output behind the last response and discards its input until the caller closes its side, or until 2 s after the caller's system has acknowledged everything. It cannot be reset with anything undelivered, since it is closed only after that; a caller that receives nothing for 5 s is cut off, and one that sends more than 1 MiB on after it has received everything is closed. The same holds for refused input, idle and header timeouts, the limit on connections, and the pages; a stop drains the pages too. process_stopped tells responses_cut.

--- a/features/platform/processes.feature
+++ b/features/platform/processes.feature
@@ -65,6 +65,14 @@
     Then it gets a complete response, with status 503
     And it ran only if it was not refused
 
+  # Review case 6: the rest of the response was lost when a further request
+  # met a connection that the stopping host had closed.
+  Scenario: A caller that reads slowly while its host stops
+    Given 2 hosts on the platform
+    When a host stops while callers read slowly and send further requests
+    Then each of them has read its whole response
+    And the host exits within 6 s
+
   # Found by the soak (seed 315): a host that was frozen until after its stop
   # slept for one more tick of 0.25 s before it stopped.
   Scenario: A stopping host that was frozen stops when it resumes
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -1,7 +1,9 @@
 import asyncio
+import contextlib
 import datetime
 import json
 import signal
+import socket
 import time
 
 from behave import then
@@ -120,3 +122,57 @@
         - context.event_times["process_paused"]
     )
     assert elapsed.total_seconds() < seconds, elapsed
+
+
+async def _read_slowly(host, number):
+    """Return the size of the response's body that a caller can read."""
+    loop = asyncio.get_running_loop()
+    data = b""
+    with socket.socket() as caller:
+        caller.setblocking(False)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await loop.sock_connect(caller, (host.ip, 8641))
+        request = scripted_http.request_bytes(
+            request_id=b"slow-%d" % number, deadline_ms=5000
+        )
+        await loop.sock_sendall(caller, request)
+        with contextlib.suppress(OSError):
+            while part := await loop.sock_recv(caller, 4096):
+                if not data:
+                    await loop.sock_sendall(caller, request)
+                data += part
+                await asyncio.sleep(0.05)
+    return len(data.partition(b"\r\n\r\n")[2])
+
+
+@when("a host stops while callers read slowly and send further requests")
+def stop_while_callers_read(context):
+    async def scenario(fleet):
+        fleet.publish(["/q/"], timeout_ms=5000)
+        for target in fleet.targets:
+            target.behaviour = "large"
+            target.work_s = 0.3
+        await asyncio.sleep(1)
+        host = fleet.hosts[0]
+        callers = [
+            asyncio.create_task(_read_slowly(host, number))
+            for number in range(4)
+        ]
+        await asyncio.sleep(0.1)
+        host.send_signal(signal.SIGTERM)
+        stopped_s = time.monotonic()
+        context.body_sizes = await asyncio.gather(*callers)
+        await asyncio.to_thread(host.process.wait, 10)
+        context.exit_s = time.monotonic() - stopped_s
+
+    platform_fleet.run(context.host_count, scenario)
+
+
+@then("each of them has read its whole response")
+def check_whole_responses(context):
+    assert context.body_sizes == [65536] * 4, context.body_sizes
+
+
+@then("the host exits within {seconds:d} s")
+def check_exit(context, seconds):
+    assert context.exit_s <= seconds, context.exit_s
--- a/features/support/scripted_http.py
+++ b/features/support/scripted_http.py
@@ -142,6 +142,11 @@
         self.runs.append(request_id)
         writer.write(response_bytes(request_id))
 
+    async def _large(self, request_id, reader, writer):
+        self.runs.append(request_id)
+        await asyncio.sleep(self.work_s)
+        writer.write(response_bytes(request_id, body=b"l" * 65536))
+
     async def _error(self, request_id, reader, writer):
         self.runs.append(request_id)
         writer.write(response_bytes(request_id, body=b"sorry", status=500))
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -380,12 +380,23 @@
         requests_cut = self.forwarder.in_progress
         for component in reversed(self._components):
             await component.stop()
-        for _, page_server in self._page_servers:
-            page_server.stop_listening()
+        listeners = [
+            self.caller_server,
+            *(page_server for _, page_server in self._page_servers),
+        ]
+        await leaving.finish_delivery(
+            listeners,
+            until_s=(self._leaving_since_s or time.monotonic())
+            + self._make_leave_plan().delivery_s,
+        )
         self.connections.close()
         self._set_phase(Phase.STOPPED, "end of run")
         events.info(
-            events.ProcessStopped(cause="leave", requests_cut=requests_cut)
+            events.ProcessStopped(
+                cause="leave",
+                requests_cut=requests_cut,
+                responses_cut=sum(item.busy_count for item in listeners),
+            )
         )
         events.flush()
 
--- a/trefoilstand/http/caller_connection.py
+++ b/trefoilstand/http/caller_connection.py
@@ -6,16 +6,16 @@
 
 import httptools
 
-from trefoilstand.http import buffer_budget
+from trefoilstand.http import delivery
 from trefoilstand.http import handling
 from trefoilstand.http import input_admission
 from trefoilstand.http import input_scheduler
 from trefoilstand.http import models
 from trefoilstand.http import pipeline
+from trefoilstand.http import read_timeout
 from trefoilstand.http import request_reception
 from trefoilstand.http import response_writing
 from trefoilstand.http import wire
-from trefoilstand.telemetry import events
 
 if typing.TYPE_CHECKING:
     from trefoilstand.http import server as servers
@@ -35,9 +35,12 @@
         self._parser = httptools.HttpRequestParser(self)
         self._pipeline = pipeline.Pipeline()
         self._handling_tasks: set[asyncio.Task[None]] = set()
-        #: Memory of responses that wait for those of earlier requests.
-        self._waiting_lease: buffer_budget.BufferLease | None = None
-        self._timeout_handle: asyncio.TimerHandle | None = None
+        self._waiting = response_writing.WaitingResponses(
+            buffers=server.buffers
+        )
+        self._read_timeout = read_timeout.ReadTimeout(
+            on_expired=self._close_unless_busy
+        )
         self._request_target = b""
         self._header_fields: models.HeaderFields = []
         self._reception = request_reception.RequestReception(
@@ -52,6 +55,8 @@
         self._is_in_message = False
         self._is_in_header = False
         self._is_rejected = False
+        #: Ends the connection once its last response was written.
+        self._orderly_close: delivery.OrderlyClose | None = None
         self._unsent = response_writing.UnsentResponse(buffers=server.buffers)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -63,11 +68,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, since no caller waits for it."""
         self._server.connections.pop(self, None)
-        self._cancel_timeout()
+        self._read_timeout.close()
+        if self._orderly_close is not None:
+            self._orderly_close.cancel()
+            self._orderly_close = None
         self._unsent.resume()
         self._reception.close()
         self._pipeline.clear()
-        self._release_waiting()
+        self._waiting.release()
         self._discard_input()
         for task in self._handling_tasks:
             task.cancel()
@@ -93,6 +101,9 @@
 
     def _parse(self, data: bytes | memoryview) -> None:
         """Parse bytes that the caller sent."""
+        if self._orderly_close is not None:
+            self._orderly_close.discard(len(data))
+            return
         if self._is_rejected:
             return
         if not self._is_in_message:
@@ -148,27 +159,45 @@
         return self._request_arrived_s
 
     def give_up(self) -> None:
-        """Close the connection for another one, as there are too many."""
+        """Close the connection for another one, as there are too many.
+
+        A request that is being received is refused first.
+        """
         if self._transport is None:
             return
         if self.receiving_since_s is not None:
             self._refuse(input_admission.STATUS_NO_PROGRESS)
         else:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection, and forget it at once."""
+        self._server.connections.pop(self, None)
+        if self._transport is not None:
             self._transport.close()
 
     @property
-    def is_idle(self) -> bool:
-        """Return whether no request is being received or handled."""
-        return not (
+    def _has_request(self) -> bool:
+        """Return whether a request is being received or handled."""
+        return bool(
             len(self._pipeline)
             or self._is_in_message
             or self.has_unparsed_input
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether a close cuts off no request and no response."""
+        return (
+            self._transport is not None
+            and not self._has_request
+            and not delivery.undelivered_bytes(self._transport)
+        )
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress on it."""
-        if self.is_idle and self._transport is not None:
-            self._transport.close()
+        if self._orderly_close is None and self.is_idle:
+            self.close()
 
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request, start its timeout."""
@@ -201,7 +230,7 @@
         self._is_in_header = False
         if self._is_rejected or self._transport is None:
             return
-        self._cancel_timeout()
+        self._read_timeout.cancel()
         size_bytes, expects_continue = wire.read_expectations(
             self._header_fields
         )
@@ -288,7 +317,9 @@
     async def _handle_exchange(self, exchange: pipeline.Exchange) -> None:
         if exchange.request is None:
             return
-        exchange.response = await self._handle(exchange.request)
+        exchange.response = await handling.handle(
+            self._server.handler, exchange.request
+        )
         self._write_complete()
 
     def _write_complete(self) -> None:
@@ -305,15 +336,32 @@
             if self._transport is not None:
                 response_writing.write(self._transport, exchange)
             exchange.release_memory()
-        self._hold_waiting()
+        self._waiting.hold(self._pipeline.waiting_bytes)
         if self._transport is None or self._transport.is_closing():
             return
+        if self._pipeline.is_closed and not len(self._pipeline):
+            self._end_output()
+            return
         self._start_handling()
         if not len(self._pipeline):
             self._start_read_timeout()
         if was_full:
             self._continue_input()
 
+    def _end_output(self) -> None:
+        """Close the connection once the last response is delivered.
+
+        What the caller has sent behind the last request counts as not read.
+        """
+        if self._transport is None or self._orderly_close is not None:
+            return
+        self._is_in_message = False
+        self._is_fragmented = False
+        self._read_timeout.cancel()
+        self._reception.abandon()
+        self._discard_input()
+        self._orderly_close = delivery.OrderlyClose(transport=self._transport)
+
     def _start_read_timeout(self) -> None:
         """Limit the time until the next request, or its header, is read."""
         limits = self._server.limits
@@ -322,36 +370,6 @@
         elif not self._is_in_message:
             self._start_timeout(limits.idle_timeout_s)
 
-    def _hold_waiting(self) -> None:
-        """Count the responses that wait for those of earlier requests."""
-        self._release_waiting()
-        waiting_bytes = self._pipeline.waiting_bytes
-        if self._server.buffers is not None and waiting_bytes:
-            self._waiting_lease = self._server.buffers.open_lease(lambda: None)
-            self._waiting_lease.hold(waiting_bytes)
-
-    def _release_waiting(self) -> None:
-        if self._waiting_lease is not None:
-            self._waiting_lease.release()
-            self._waiting_lease = None
-
-    async def _handle(
-        self, request: models.Request
-    ) -> handling.CallerResponse:
-        """Return the handler's response, or status 500 if it raises."""
-        try:
-            return await self._server.handler.handle(request)
-        except Exception as error:
-            # Without a response the caller would wait for its full timeout.
-            events.error(
-                events.ComponentFailed(
-                    component="callers",
-                    error_type=type(error).__name__,
-                    detail=str(error)[:500],
-                )
-            )
-            return handling.CallerResponse(status=500)
-
     def _refuse(self, status: int) -> None:
         """Reject a partly received request, which has not run."""
         if self._is_rejected or self._transport is None:
@@ -371,29 +389,16 @@
         self._is_rejected = True
         self._reception.abandon()
         self._discard_input()
-        self._cancel_timeout()
+        self._read_timeout.cancel()
         self._transport.pause_reading()
-        self._pipeline.add(
-            pipeline.Exchange(
-                request=None,
-                keeps_alive=False,
-                is_started=True,
-                response=handling.CallerResponse(status=status),
-            )
-        )
+        self._pipeline.add(pipeline.make_refusal(status))
         self._write_complete()
 
     def _start_timeout(self, timeout_s: float) -> None:
-        self._cancel_timeout()
-        self._timeout_handle = asyncio.get_running_loop().call_later(
-            timeout_s, self._on_timeout
-        )
-
-    def _cancel_timeout(self) -> None:
-        if self._timeout_handle is not None:
-            self._timeout_handle.cancel()
-            self._timeout_handle = None
+        if self._transport is not None:
+            self._read_timeout.start(self._transport, timeout_s)
 
-    def _on_timeout(self) -> None:
+    def _close_unless_busy(self) -> None:
+        """Close the connection if it has waited too long for a request."""
         if not len(self._pipeline) and self._transport is not None:
             self._transport.close()
--- a/trefoilstand/http/handling.py
+++ b/trefoilstand/http/handling.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from trefoilstand.http import models
+from trefoilstand.telemetry import events
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,3 +56,25 @@
         :param fields: header fields of the request.
         """
         return None
+
+
+async def handle(
+    handler: RequestHandler, request: models.Request
+) -> CallerResponse:
+    """Return the handler's response, or status 500 if it raises.
+
+    :param handler: produces the response.
+    :param request: complete request of a caller.
+    """
+    try:
+        return await handler.handle(request)
+    except Exception as error:
+        # Without a response the caller would wait for its full timeout.
+        events.error(
+            events.ComponentFailed(
+                component="callers",
+                error_type=type(error).__name__,
+                detail=str(error)[:500],
+            )
+        )
+        return CallerResponse(status=500)
--- a/trefoilstand/http/pipeline.py
+++ b/trefoilstand/http/pipeline.py
@@ -51,6 +51,19 @@
         )
 
 
+def make_refusal(status: int) -> Exchange:
+    """Return the exchange of a request that was refused while it was read.
+
+    :param status: status of its response, which ends the connection.
+    """
+    return Exchange(
+        request=None,
+        keeps_alive=False,
+        is_started=True,
+        response=handling.CallerResponse(status=status),
+    )
+
+
 class Pipeline:
     """Hold the exchanges of one connection in the order of their requests."""
 
--- a/trefoilstand/http/response_writing.py
+++ b/trefoilstand/http/response_writing.py
@@ -68,6 +68,33 @@
         transport.abort()
 
 
+class WaitingResponses:
+    """Hold the memory of responses that wait for those of earlier requests.
+
+    :param buffers: memory for bodies, None for no limit.
+    """
+
+    def __init__(self, *, buffers: buffer_budget.BufferBudget | None) -> None:
+        self._buffers = buffers
+        self._lease: buffer_budget.BufferLease | None = None
+
+    def hold(self, size_bytes: int) -> None:
+        """Count the responses that wait now, instead of earlier ones.
+
+        :param size_bytes: size of their bodies.
+        """
+        self.release()
+        if self._buffers is not None and size_bytes:
+            self._lease = self._buffers.open_lease(lambda: None)
+            self._lease.hold(size_bytes)
+
+    def release(self) -> None:
+        """Release the memory."""
+        if self._lease is not None:
+            self._lease.release()
+            self._lease = None
+
+
 def write(
     transport: asyncio.WriteTransport, exchange: pipeline.Exchange
 ) -> None:
@@ -79,12 +106,11 @@
     response = exchange.response
     if response is None or transport.is_closing():
         return
-    is_closing = not exchange.keeps_alive
     header = wire.encode_response_header(
         status=response.status,
         fields=response.fields,
         body_bytes=len(response.body),
-        is_closing=is_closing,
+        is_closing=not exchange.keeps_alive,
     )
     if exchange.request is not None and exchange.request.method == b"HEAD":
         transport.write(header)
@@ -93,5 +119,3 @@
         transport.write(response.body)
     else:
         transport.write(header + response.body)
-    if is_closing:
-        transport.close()
--- a/trefoilstand/http/server.py
+++ b/trefoilstand/http/server.py
@@ -15,6 +15,9 @@
 #: Part of the connections that may wait to be accepted, as all of those are
 #: accepted before the first is closed for another one.
 _BACKLOG_SHARE: typing.Final = 0.5
+#: Connections beyond the limit, as a share of it, whose refusal is still being
+#: delivered.
+_CLOSING_SHARE: typing.Final = 0.0625
 
 
 class Server:
@@ -98,20 +101,19 @@
 
         :param connection: accepted connection.
         """
-        excess: caller_connection.CallerConnection | None = None
-        if (
-            self._max_connections is not None
-            and len(self.connections) >= self._max_connections
-        ):
-            self.excess_count += 1
-            excess = connection_limit.choose_excess(self.connections)
-            if excess is None:
-                connection.give_up()
-                return
+        limit = self._max_connections
+        if limit is None or len(self.connections) < limit:
+            self.connections[connection] = None
+            return
+        self.excess_count += 1
+        excess = connection_limit.choose_excess(self.connections)
+        if excess is None:
+            connection.give_up()
+            return
         self.connections[connection] = None
-        if excess is not None:
-            del self.connections[excess]
-            excess.give_up()
+        excess.give_up()
+        if len(self.connections) > limit * (1 + _CLOSING_SHARE):
+            excess.close()
 
     @property
     def port(self) -> int:
@@ -126,6 +128,12 @@
             self._server.close()
             self._server = None
 
+    def drain(self) -> None:
+        """Accept nothing more, and close connections once they are idle."""
+        self.is_draining = True
+        self.stop_listening()
+        self.close_idle_connections()
+
     def close_idle_connections(self) -> None:
         """Close the connections on which no request is in progress."""
         for connection in list(self.connections):
@@ -133,5 +141,5 @@
 
     @property
     def busy_count(self) -> int:
-        """Return how many connections have a request in progress."""
+        """Return how many connections would lose something if closed now."""
         return sum(not connection.is_idle for connection in self.connections)
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -138,6 +138,7 @@
 
     cause: str
     requests_cut: int
+    responses_cut: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
