Separate what hosts report of targets from request limits

The choice of what a message reports (ReportSchedule) and of when and to whom news is announced (TargetNewsAnnouncer) do not depend on limits, and get names that say so.

--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -232,7 +232,7 @@
     if host.limits.record(
         observation, now_s=host.net.clock.now_s(), source="response"
     ):
-        host.peers.announce_limits(topology.Origin.STORE)
+        host.peers.announce_target_news(topology.Origin.STORE)
 
 
 @then("no host sends more than {limit:d} bytes in any second of the next 8 s")
--- a/features/support/limited_fleet.py
+++ b/features/support/limited_fleet.py
@@ -194,7 +194,7 @@
             ranking=self._ranking,
             protocol=protocol,
             counts=counts,
-            on_new_limit=lambda: peer.peers.announce_limits(
+            on_new_limit=lambda: peer.peers.announce_target_news(
                 topology.Origin.STORE
             ),
         )
--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -40,9 +40,9 @@
 #: announcement, which a relay sends to each host of its domain.
 MAX_TARGET_LIMITS: typing.Final = 8
 MAX_ANNOUNCED_LIMITS: typing.Final = 64
-#: Minimum interval between two announcements of request limits.  Many targets
+#: Minimum interval between two announcements of news of targets.  Many targets
 #: may state limits at the same time, and relays hear of each from many hosts.
-MIN_LIMIT_INTERVAL_S: typing.Final = 0.5
+MIN_TARGET_NEWS_INTERVAL_S: typing.Final = 0.5
 #: A host whose count of live hosts differs from a relay's for this long
 #: fetches the relay's member list.
 MEMBER_MISMATCH_TIMEOUT_S: typing.Final = 1.0
--- a/trefoilstand/fleet/exchange.py
+++ b/trefoilstand/fleet/exchange.py
@@ -6,10 +6,10 @@
 import typing
 
 from trefoilstand.fleet import const
-from trefoilstand.fleet import limit_announcer
 from trefoilstand.fleet import messages
 from trefoilstand.fleet import models
 from trefoilstand.fleet import state_fetcher
+from trefoilstand.fleet import target_news
 from trefoilstand.fleet import topology
 from trefoilstand.helpers import lifecycle
 from trefoilstand.helpers import supervision
@@ -54,7 +54,7 @@
         self._remaining_in_round: list[str] = []
         self._round_count = 0
         self._last_announced_s = float("-inf")
-        self._limit_news = limit_announcer.LimitAnnouncer(
+        self._target_news = target_news.TargetNewsAnnouncer(
             random_source=random_source
         )
         self._members_matched_s = clock.now_s()
@@ -161,19 +161,19 @@
         ):
             self.announce(origin)
 
-    def announce_limits(self, origin: topology.Origin) -> None:
-        """Tell other hosts of request limits, at a limited rate.
+    def announce_target_news(self, origin: topology.Origin) -> None:
+        """Tell other hosts of news of targets, at a limited rate.
 
-        :param origin: where this host learned of them.
+        :param origin: where this host learned of it.
         """
-        self._limit_news.add(origin)
-        self._announce_pending_limits()
+        self._target_news.add(origin)
+        self._announce_pending_news()
 
-    def _announce_pending_limits(self) -> None:
+    def _announce_pending_news(self) -> None:
         now_s = self._clock.now_s()
-        if self._transport is None or not self._limit_news.is_due(now_s):
+        if self._transport is None or not self._target_news.is_due(now_s):
             return
-        for address in self._limit_news.take_recipients(self.view, now_s):
+        for address in self._target_news.take_recipients(self.view, now_s):
             self._send_heartbeat(address, wants_reply=False)
 
     def request_heartbeat(self, address: str) -> None:
@@ -232,8 +232,8 @@
     ) -> None:
         """Announce new state or a confirmation from a heartbeat."""
         origin = self.view.classify_origin(sender)
-        if received.has_new_limit:
-            self.announce_limits(origin)
+        if received.has_target_news:
+            self.announce_target_news(origin)
         if received.has_advanced:
             self.announce(origin)
         elif received.is_newly_confirmed and self.view.is_primary_relay:
@@ -308,7 +308,7 @@
             self._excuse_delay(now_s - due_s)
         self._members.tick(now_s)
         self._check_replies(now_s)
-        self._announce_pending_limits()
+        self._announce_pending_news()
         self._ping_round(now_s)
 
     def _excuse_delay(self, delay_s: float) -> None:
--- a/trefoilstand/fleet/heartbeat.py
+++ b/trefoilstand/fleet/heartbeat.py
@@ -157,7 +157,7 @@
             is_sender_behind=position < self._state.position,
             has_different_live_count=message.live_hosts
             != self._members.live_count,
-            has_new_limit=self._apply_limits(message, now_s),
+            has_target_news=self._apply_limits(message, now_s),
         )
 
     def _encode_limits(
--- a/trefoilstand/fleet/messages.py
+++ b/trefoilstand/fleet/messages.py
@@ -30,8 +30,8 @@
     :param is_sender_behind: whether the sender lacks state.
     :param has_different_live_count: whether the sender counts more or fewer
         live hosts.
-    :param has_new_limit: whether a target turned out to have a request
-        limit.
+    :param has_target_news: whether a target turned out to have a request
+        limit or to leave.
     """
 
     sender: peers_models.Member | None
@@ -43,7 +43,7 @@
     is_replica_behind: bool = False
     is_sender_behind: bool = False
     has_different_live_count: bool = False
-    has_new_limit: bool = False
+    has_target_news: bool = False
 
 
 class MessageHandler(abc.ABC):
--- a/trefoilstand/fleet/rate_limits.py
+++ b/trefoilstand/fleet/rate_limits.py
@@ -8,6 +8,7 @@
 import random
 import typing
 
+from trefoilstand.fleet import report_schedule
 from trefoilstand.telemetry import events
 
 #: Age from which on an observation is ignored, so that a target that got no
@@ -18,12 +19,6 @@
 RELEASE_DELAY_S: typing.Final = 1.0
 #: For this long other hosts are told that a limit has ended.
 _RELEASE_REPORT_S: typing.Final = 10.0
-#: For this long all reports to other hosts include a limit that began or
-#: ended.
-_NEWS_S: typing.Final = 2.0
-#: Interval at which a host reports each limit again, so that the others
-#: hear of it well before its lifetime ends.
-_REPORT_INTERVAL_S: typing.Final = 5.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -50,14 +45,12 @@
     """
 
     def __init__(self, *, random_source: random.Random) -> None:
-        self._random = random_source
         self._observations: dict[str, LimitObservation] = {}
         #: Monotonic time at which the limit of a target ended.
         self._released_s: dict[str, float] = {}
-        #: Monotonic times at which this host learned that the limit of a
-        #: target began or ended, and at which it last reported the limit.
-        self._changed_s: dict[str, float] = {}
-        self._reported_s: dict[str, float] = {}
+        self._schedule = report_schedule.ReportSchedule(
+            random_source=random_source
+        )
 
     def __len__(self) -> int:
         return len(self._observations)
@@ -96,7 +89,7 @@
         elif target_id not in self._released_s:
             self._released_s[target_id] = observation.observed_s
         if (new_limit is None) != (old_limit is None):
-            self._changed_s[target_id] = self._reported_s[target_id] = now_s
+            self._schedule.record_news(target_id, now_s)
         if new_limit != old_limit:
             events.info(
                 events.TargetLimitChanged(
@@ -117,9 +110,9 @@
             self._observations[target_id] = dataclasses.replace(
                 observation, observed_s=observation.observed_s - duration_s
             )
-        for times in (self._released_s, self._changed_s, self._reported_s):
-            for target_id in times:
-                times[target_id] -= duration_s
+        for target_id in self._released_s:
+            self._released_s[target_id] -= duration_s
+        self._schedule.add_suspension(duration_s)
 
     def find(
         self, target_id: str, incarnation: int, now_s: float
@@ -156,22 +149,14 @@
         if not self._observations:
             return []
         self._forget_old(now_s)
-        news: list[str] = []
-        due: list[str] = []
-        for target_id, observation in self._observations.items():
-            if not self._is_reportable(observation, now_s):
-                continue
-            if now_s - self._changed_s[target_id] <= _NEWS_S:
-                news.append(target_id)
-            elif (
-                is_new_receiver
-                or now_s - self._reported_s[target_id] >= _REPORT_INTERVAL_S
-            ):
-                due.append(target_id)
-        chosen = self._sample(news, max_count)
-        chosen += self._sample(due, max_count - len(chosen))
-        for target_id in chosen:
-            self._reported_s[target_id] = now_s
+        reportable = [
+            target_id
+            for target_id, observation in self._observations.items()
+            if self._is_reportable(observation, now_s)
+        ]
+        chosen = self._schedule.choose(
+            reportable, max_count, now_s, is_new_receiver=is_new_receiver
+        )
         return [self._observations[target_id] for target_id in chosen]
 
     def _is_reportable(
@@ -184,16 +169,10 @@
             and now_s - released_s <= _RELEASE_REPORT_S
         )
 
-    def _sample(self, target_ids: list[str], max_count: int) -> list[str]:
-        if len(target_ids) <= max_count:
-            return target_ids
-        return self._random.sample(target_ids, max_count)
-
     def _forget_old(self, now_s: float) -> None:
         """Drop targets that were not heard of since their last limit."""
         for target_id, observation in list(self._observations.items()):
             if now_s - observation.observed_s > 2 * OBSERVATION_LIFETIME_S:
                 del self._observations[target_id]
-                del self._changed_s[target_id]
-                del self._reported_s[target_id]
+                self._schedule.forget(target_id)
                 self._released_s.pop(target_id, None)
--- a/trefoilstand/fleet/limit_announcer.py
+++ b/trefoilstand/fleet/target_news.py
@@ -1,4 +1,4 @@
-"""Decide when and to whom news of request limits is sent."""
+"""Decide when and to whom news of targets is sent."""
 
 import random
 
@@ -6,8 +6,10 @@
 from trefoilstand.fleet import topology
 
 
-class LimitAnnouncer:
-    """Collect news of request limits and announce it at a limited rate.
+class TargetNewsAnnouncer:
+    """Collect news of targets and announce it at a limited rate.
+
+    News are request limits that targets state, and targets that leave.
 
     :param random_source: samples the hosts of the own domain.
     """
@@ -31,7 +33,7 @@
         :param now_s: monotonic time.
         """
         return bool(self._pending_origins) and (
-            now_s - self._last_sent_s >= const.MIN_LIMIT_INTERVAL_S
+            now_s - self._last_sent_s >= const.MIN_TARGET_NEWS_INTERVAL_S
         )
 
     def take_recipients(
@@ -50,7 +52,7 @@
             if origin in self._pending_origins:
                 recipients.update(
                     dict.fromkeys(
-                        view.choose_limit_recipients(origin, self._random)
+                        view.choose_news_recipients(origin, self._random)
                     )
                 )
         self._pending_origins.clear()
--- a/trefoilstand/fleet/topology.py
+++ b/trefoilstand/fleet/topology.py
@@ -113,14 +113,14 @@
             ]
         return recipients
 
-    def choose_limit_recipients(
+    def choose_news_recipients(
         self, origin: Origin, random_source: random.Random
     ) -> list[str]:
-        """Return the hosts to send the limits of targets to soon.
+        """Return the hosts to send news of targets to soon.
 
         The other hosts learn of them from the heartbeats that follow.
 
-        :param origin: where this host received the limits from.
+        :param origin: where this host received the news from.
         :param random_source: samples the hosts of the own domain.
         :returns: peer addresses.
         """
--- a/trefoilstand/gateway/replication.py
+++ b/trefoilstand/gateway/replication.py
@@ -112,7 +112,7 @@
 
     def announce_limit(self) -> None:
         """Tell other hosts soon that a target states a limit."""
-        self.peers.announce_limits(topology.Origin.STORE)
+        self.peers.announce_target_news(topology.Origin.STORE)
 
     def record_pause(self, now_s: float, pause: pause_detector.Pause) -> None:
         """Distrust what was known before the process was paused.
