Take targets out whose responses say that they leave

Callers saw: with the store down, a target that says in each response that it leaves got unsafe requests until it was gone.

Cause: no code read the field. That a target leaves was known from the store alone. Evidence: 87 responses with the field were passed on to callers, and no host logged a line about the target until its end; nothing told a response that is not read from one that the list overrules, so `target_leave_noticed` now logs the process and the first source.

Change: each response is read as it is matched to its request or health check (gateway/leaving_reader), so that a send that is cancelled in that moment counts as well. Only the target's own responses count. One module (fleet/leaving_targets) holds the marks of all sources by target and incarnation; a marked target leaves the target table at once, which selection, queue, retries, hedges and the check before each send use. Heartbeats tell the other hosts. Requests that are queued for a service without any target are refused at once with Retry-After instead of at their deadline.

Why it works: the first of the responses that callers get is also the one that ends the use of the target.

--- a/features/platform/processes.feature
+++ b/features/platform/processes.feature
@@ -23,6 +23,8 @@
       | drains while history is lost |
       # Review case 3: each cut watch counted as an outage of the store.
       | disappears while watches are cut |
+      # Review case 9: what its responses said was not read.
+      | says that it leaves while the store is down |
 
   # Review case 5: the grace for a mass removal, here of one of two targets, was
   # added to the delay until a host noticed the loss of the readers.
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -124,7 +124,8 @@
                     dataclasses.replace(
                         target.record,
                         state=gateway_models.TargetState.DRAINING,
-                    )
+                    ),
+                    time.monotonic(),
                 )
                 harness.apply_registry()
             return result
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -156,6 +156,9 @@
         target = fleet.targets[0]
         if withdrawal.startswith("disappears"):
             fleet.unregister(target)
+        elif withdrawal.startswith("says"):
+            fleet.store.is_down = True
+            target.response_fields = b"Server-Leaving: 1\r\n"
         else:
             fleet.register(target, state="draining")
         if "history" in withdrawal:
--- a/features/steps/restoration_spread_steps.py
+++ b/features/steps/restoration_spread_steps.py
@@ -10,6 +10,7 @@
 from features.support import restored_host
 from trefoilstand.fleet import codec
 from trefoilstand.fleet import heartbeat
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import models
 from trefoilstand.fleet import rate_limits
 from trefoilstand.fleet import replica
@@ -106,6 +107,7 @@
         state=state,
         staleness=staleness,
         limits=rate_limits.RateLimitTable(random_source=random_source),
+        leaving=leaving_targets.LeavingTargets(random_source=random_source),
         random_source=random_source,
     )
     return handler, staleness, state
--- a/features/steps/state_steps.py
+++ b/features/steps/state_steps.py
@@ -9,6 +9,7 @@
 
 from features.support import scripted_http
 from trefoilstand.experiments import gateway_model
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import models
 from trefoilstand.fleet import readers
 from trefoilstand.fleet import replica
@@ -141,12 +142,14 @@
     )
     context.staleness.confirm(context.now_s)
     context.registry = registry.TargetRegistry(
-        staleness=context.staleness, drain_s=2.0
+        leaving=leaving_targets.LeavingTargets(random_source=random.Random(1)),
+        staleness=context.staleness,
+        drain_s=2.0,
     )
-    context.registry.set(_record())
+    context.registry.set(_record(), context.now_s)
     for number in range(3):
         other = dataclasses.replace(_record(), target_id=f"other-{number}")
-        context.registry.set(other)
+        context.registry.set(other, context.now_s)
 
 
 @when("its entry disappears {when_}")
@@ -156,7 +159,7 @@
         context.staleness.confirm(context.now_s)
     if "drained" in when_:
         context.registry.set(
-            _record(state=gateway_models.TargetState.DRAINING)
+            _record(state=gateway_models.TargetState.DRAINING), context.now_s
         )
     context.registry.remove(["t"], context.now_s)
     if "returns" in when_:
@@ -165,8 +168,10 @@
 
 @when("it reports draining and then ready")
 def report_draining_then_ready(context):
-    context.registry.set(_record(state=gateway_models.TargetState.DRAINING))
-    context.registry.set(_record())
+    context.registry.set(
+        _record(state=gateway_models.TargetState.DRAINING), context.now_s
+    )
+    context.registry.set(_record(), context.now_s)
 
 
 @then("it gets new work: {first}, and 3 seconds later: {later}")
@@ -174,7 +179,7 @@
     context.registry.expire(context.now_s)
     assert ("t" in context.registry.eligible_targets()) == (first == "yes")
     if getattr(context, "entry_returns", False):
-        context.registry.set(_record())
+        context.registry.set(_record(), context.now_s)
     for number in range(1, 7):
         context.staleness.confirm(context.now_s + number / 2)
     context.registry.expire(context.now_s + 3)
@@ -183,7 +188,7 @@
 
 @then("it gets new work as another incarnation")
 def check_other_incarnation(context):
-    context.registry.set(_record(incarnation=2))
+    context.registry.set(_record(incarnation=2), context.now_s)
     assert "t" in context.registry.eligible_targets()
 
 
@@ -279,11 +284,12 @@
     scripted = scripted_http.ScriptedTarget(target_id="t", behaviour="whole")
     scripted.port = 1
     context.record = dataclasses.replace(scripted.record(), incarnation=number)
-    context.registry.set(context.record)
+    context.registry.set(context.record, 0.0)
     context.registry.set(
         dataclasses.replace(
             context.record, state=gateway_models.TargetState.DRAINING
-        )
+        ),
+        0.0,
     )
     assert not context.registry.eligible_targets()
 
@@ -291,7 +297,7 @@
 @when("it is registered as ready in incarnation {number:d}")
 def register_again(context, number):
     context.registry.set(
-        dataclasses.replace(context.record, incarnation=number)
+        dataclasses.replace(context.record, incarnation=number), 0.0
     )
 
 
--- a/features/support/heartbeat_fleet.py
+++ b/features/support/heartbeat_fleet.py
@@ -7,6 +7,7 @@
 from trefoilstand.experiments import virtual_time
 from trefoilstand.fleet import exchange
 from trefoilstand.fleet import heartbeat
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import models
 from trefoilstand.fleet import rate_limits
 from trefoilstand.fleet import readers
@@ -52,6 +53,9 @@
         )
         self.state = replica.Replica()
         self.limits = rate_limits.RateLimitTable(random_source=random_source)
+        self.leaving = leaving_targets.LeavingTargets(
+            random_source=random_source
+        )
         self.staleness = staleness_tracker.StalenessTracker(
             random_source=random_source
         )
@@ -69,6 +73,7 @@
                 state=self.state,
                 staleness=self.staleness,
                 limits=self.limits,
+                leaving=self.leaving,
                 random_source=random_source,
             ),
             transfers=self.transfers,
--- a/features/support/reading_host.py
+++ b/features/support/reading_host.py
@@ -7,6 +7,7 @@
 
 from trefoilstand.experiments import virtual_time
 from trefoilstand.fleet import coordinator
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import lost_items
 from trefoilstand.fleet import models
 from trefoilstand.fleet import readers
@@ -188,7 +189,11 @@
             decoder=decoder.StoreDecoder(),
             connections=None,
             target_registry=registry.TargetRegistry(
-                staleness=self.staleness, drain_s=2.0
+                leaving=leaving_targets.LeavingTargets(
+                    random_source=random_source
+                ),
+                staleness=self.staleness,
+                drain_s=2.0,
             ),
             retry_limits=retry_budget.RetryBudgetLimits(
                 ratio=0.2, allowance=56.0, window_s=10.0
--- a/features/support/restored_host.py
+++ b/features/support/restored_host.py
@@ -11,6 +11,7 @@
 
 from features.support import reading_host
 from trefoilstand.fleet import codec
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import lost_items
 from trefoilstand.fleet import models
 from trefoilstand.fleet import replica
@@ -127,7 +128,11 @@
             decoder=decoder.StoreDecoder(),
             connections=None,
             target_registry=registry.TargetRegistry(
-                staleness=self.staleness, drain_s=2.5
+                leaving=leaving_targets.LeavingTargets(
+                    random_source=random.Random(1)
+                ),
+                staleness=self.staleness,
+                drain_s=2.5,
             ),
             retry_limits=retry_budget.RetryBudgetLimits(
                 ratio=0.2, allowance=56.0, window_s=10.0
--- a/features/support/scripted_http.py
+++ b/features/support/scripted_http.py
@@ -11,6 +11,7 @@
 from trefoilstand.fleet import models as fleet_models
 from trefoilstand.fleet import rate_limits
 from trefoilstand.gateway import assembly
+from trefoilstand.gateway import leaving_reader
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
@@ -68,6 +69,11 @@
         self.refusal_has_id = True
         self.answers_after_refusal = True
         self.refuses_before_health = False
+        #: Fields that its responses to requests and to health checks add, the
+        #: latter under this id.
+        self.response_fields = b""
+        self.health_fields = b""
+        self.health_id = target_id
         #: Requests a second that its responses state as its limit, if any.
         self.limit_per_s = None
         self.arrivals_s = []
@@ -133,14 +139,18 @@
     def _health(self):
         return (
             b"HTTP/1.1 200 OK\r\nInstance-Id: "
-            + self.target_id.encode()
+            + self.health_id.encode()
             + (b"\r\nServer-Load: " + self.load if self.load else b"")
-            + b"\r\nContent-Length: 0\r\n\r\n"
+            + b"\r\n"
+            + self.health_fields
+            + b"Content-Length: 0\r\n\r\n"
         )
 
     async def _whole(self, request_id, reader, writer):
         self.runs.append(request_id)
-        writer.write(response_bytes(request_id))
+        writer.write(
+            response_bytes(request_id, extra_fields=self.response_fields)
+        )
 
     async def _large(self, request_id, reader, writer):
         self.runs.append(request_id)
@@ -149,12 +159,21 @@
 
     async def _error(self, request_id, reader, writer):
         self.runs.append(request_id)
-        writer.write(response_bytes(request_id, body=b"sorry", status=500))
+        writer.write(
+            response_bytes(
+                request_id,
+                body=b"sorry",
+                status=500,
+                extra_fields=self.response_fields,
+            )
+        )
 
     async def _slow(self, request_id, reader, writer):
         self.runs.append(request_id)
         await asyncio.sleep(0.2)
-        writer.write(response_bytes(request_id))
+        writer.write(
+            response_bytes(request_id, extra_fields=self.response_fields)
+        )
 
     async def _working(self, request_id, reader, writer):
         self.runs.append(request_id)
@@ -212,7 +231,9 @@
     async def _foreign_first(self, request_id, reader, writer):
         self.runs.append(request_id)
         writer.write(
-            response_bytes(b"other", body=b"foreign")
+            response_bytes(
+                b"other", body=b"foreign", extra_fields=self.response_fields
+            )
             + response_bytes(request_id)
         )
 
@@ -235,7 +256,11 @@
 
     async def _unsigned(self, request_id, reader, writer):
         self.runs.append(request_id)
-        writer.write(response_bytes(request_id, has_stamp=False))
+        writer.write(
+            response_bytes(
+                request_id, has_stamp=False, extra_fields=self.response_fields
+            )
+        )
 
     async def _encoded(self, request_id, reader, writer):
         self.runs.append(request_id)
@@ -246,7 +271,7 @@
         )
 
     async def _shed(self, request_id, reader, writer):
-        writer.write(_refusal_bytes(request_id))
+        writer.write(_refusal_bytes(request_id, self.response_fields))
 
     async def _refuse_again(self, request_id, reader, writer):
         """Refuse the first request; repeat that refusal before later ones."""
@@ -264,12 +289,21 @@
             writer.write(response_bytes(request_id))
 
     async def _misdirected(self, request_id, reader, writer):
-        writer.write(response_bytes(request_id, status=421, has_stamp=False))
+        writer.write(
+            response_bytes(
+                request_id,
+                status=421,
+                has_stamp=False,
+                extra_fields=self.response_fields,
+            )
+        )
 
 
-def _refusal_bytes(request_id):
+def _refusal_bytes(request_id, extra_fields=b""):
     return response_bytes(
-        request_id, status=503, extra_fields=b"Not-Executed: 1\r\n"
+        request_id,
+        status=503,
+        extra_fields=b"Not-Executed: 1\r\n" + extra_fields,
     )
 
 
@@ -354,6 +388,11 @@
                 connections=self.connections,
                 protocol=protocol,
                 limits=limits.reader,
+                leaving=leaving_reader.LeavingReader(
+                    protocol=protocol,
+                    marks=self.state.registry.leaving,
+                    clock=clock,
+                ),
                 clock=clock,
             ),
             probe_budget=token_bucket.TokenBucket(rate_per_s=1e4, burst=1e4),
@@ -377,7 +416,7 @@
     async def start(self):
         for target in self.targets:
             await target.start()
-            self.state.registry.set(target.record())
+            self.state.registry.set(target.record(), time.monotonic())
         self.apply_registry()
         await self.server.start(ip="127.0.0.1", port=0, backlog=64)
         self.port = self.server.port
--- a/trefoilstand/cli/trace.py
+++ b/trefoilstand/cli/trace.py
@@ -22,6 +22,7 @@
         "process_paused",
         "process_started",
         "store_history_lost",
+        "target_leave_noticed",
         "target_removed",
     }
 )
--- a/trefoilstand/experiments/gateway_model.py
+++ b/trefoilstand/experiments/gateway_model.py
@@ -10,6 +10,7 @@
 import random
 import typing
 
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import staleness_tracker
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pool
@@ -198,6 +199,10 @@
         """Return whether another target responded at the address."""
         return False
 
+    def is_leaving(self, response: http_models.Response) -> bool:
+        """Return whether a response says that its target leaves."""
+        return response.find_field(b"leaving") is not None
+
     def read_load(
         self, response: http_models.Response, now_s: float
     ) -> models.LoadReport | None:
@@ -368,6 +373,7 @@
 def make_registry() -> registry.TargetRegistry:
     """Return an empty registry of targets without a store."""
     return registry.TargetRegistry(
+        leaving=leaving_targets.LeavingTargets(random_source=random.Random(0)),
         staleness=staleness_tracker.StalenessTracker(
             random_source=random.Random(0)
         ),
--- a/trefoilstand/fleet/codec.py
+++ b/trefoilstand/fleet/codec.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import models
 from trefoilstand.fleet import rate_limits
 from trefoilstand.peers import peer_pb2
@@ -11,6 +12,8 @@
 #: Incarnations from this on do not fit the field; a valid one is a time in
 #: milliseconds.
 _INCARNATION_LIMIT: typing.Final = 2**63
+#: Ages that do not fit the field are sent as this one.
+_MAX_AGE_MS: typing.Final = 2**32 - 1
 
 
 def encode_delta(delta: models.Delta) -> peer_pb2.StateDelta:
@@ -95,3 +98,37 @@
         requests_per_s=limit_per_s,
         observed_s=now_s - message.age_ms / _MS_PER_S,
     )
+
+
+def encode_leaving(
+    mark: leaving_targets.LeavingMark, now_s: float
+) -> peer_pb2.LeavingTarget | None:
+    """Return the message that carries a mark, None if it cannot.
+
+    :param mark: process of a target that leaves.
+    :param now_s: monotonic time.
+    """
+    if not -_INCARNATION_LIMIT <= mark.incarnation < _INCARNATION_LIMIT:
+        return None
+    age_ms = int((now_s - mark.marked_s) * _MS_PER_S)
+    return peer_pb2.LeavingTarget(
+        target_id=mark.target_id,
+        incarnation=mark.incarnation,
+        age_ms=min(max(age_ms, 0), _MAX_AGE_MS),
+    )
+
+
+def decode_leaving(
+    message: peer_pb2.LeavingTarget, now_s: float
+) -> leaving_targets.LeavingMark:
+    """Return the mark that a message carries.
+
+    :param message: as received from a peer.
+    :param now_s: monotonic time.
+    """
+    return leaving_targets.LeavingMark(
+        target_id=message.target_id,
+        incarnation=message.incarnation,
+        source=leaving_targets.Source.PEER,
+        marked_s=now_s - message.age_ms / _MS_PER_S,
+    )
--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -40,6 +40,8 @@
 #: announcement, which a relay sends to each host of its domain.
 MAX_TARGET_LIMITS: typing.Final = 8
 MAX_ANNOUNCED_LIMITS: typing.Final = 64
+#: Targets that leave in one heartbeat.
+MAX_LEAVING_TARGETS: typing.Final = 8
 #: Minimum interval between two announcements of news of targets.  Many targets
 #: may state limits at the same time, and relays hear of each from many hosts.
 MIN_TARGET_NEWS_INTERVAL_S: typing.Final = 0.5
--- a/trefoilstand/fleet/heartbeat.py
+++ b/trefoilstand/fleet/heartbeat.py
@@ -7,6 +7,7 @@
 
 from trefoilstand.fleet import codec
 from trefoilstand.fleet import const
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import messages
 from trefoilstand.fleet import models
 from trefoilstand.fleet import rate_limits
@@ -30,6 +31,7 @@
     :param state: local replica of the store.
     :param staleness: how old the replica may be.
     :param limits: request limits of targets.
+    :param leaving: targets that are known to leave.
     :param random_source: chooses members to send again.
     """
 
@@ -40,12 +42,14 @@
         state: replica.Replica,
         staleness: staleness_tracker.StalenessTracker,
         limits: rate_limits.RateLimitTable,
+        leaving: leaving_targets.LeavingTargets,
         random_source: random.Random,
     ) -> None:
         self._members = members
         self._state = state
         self._staleness = staleness
         self._limits = limits
+        self._leaving = leaving
         self._random = random_source
         #: Position that each peer has at least, by peer address.
         self._peer_positions: dict[str, models.Position] = {}
@@ -92,6 +96,9 @@
             target_limits=self._encode_limits(
                 max_limits, now_s, is_new_receiver=is_new_receiver
             ),
+            leaving_targets=self._encode_leaving(
+                now_s, is_new_receiver=is_new_receiver
+            ),
         )
         data = message.SerializeToString()
         known = self._peer_positions.get(receiver, models.NO_POSITION)
@@ -136,6 +143,8 @@
         if message.HasField("delta"):
             has_advanced = self._state.apply(codec.decode_delta(message.delta))
         is_replica_behind = position > self._state.position
+        has_new_limit = self._apply_limits(message, now_s)
+        has_new_leaving = self._apply_leaving(message, now_s)
         is_newly_confirmed = False
         if (
             not is_replica_behind
@@ -157,7 +166,7 @@
             is_sender_behind=position < self._state.position,
             has_different_live_count=message.live_hosts
             != self._members.live_count,
-            has_target_news=self._apply_limits(message, now_s),
+            has_target_news=has_new_limit or has_new_leaving,
         )
 
     def _encode_limits(
@@ -182,6 +191,25 @@
                 has_new_limit = True
         return has_new_limit
 
+    def _encode_leaving(
+        self, now_s: float, *, is_new_receiver: bool
+    ) -> list[peer_pb2.LeavingTarget]:
+        marks = self._leaving.choose_reports(
+            const.MAX_LEAVING_TARGETS, now_s, is_new_receiver=is_new_receiver
+        )
+        encoded = [codec.encode_leaving(mark, now_s) for mark in marks]
+        return [message for message in encoded if message is not None]
+
+    def _apply_leaving(
+        self, message: peer_pb2.Heartbeat, now_s: float
+    ) -> bool:
+        """Mark the targets in a heartbeat; return whether any is new."""
+        added = [
+            self._leaving.add(codec.decode_leaving(received, now_s), now_s)
+            for received in message.leaving_targets
+        ]
+        return any(added)
+
     @property
     def has_holder(self) -> bool:
         """Return whether any peer is known to hold state of the store."""
--- a/trefoilstand/gateway/application.py
+++ b/trefoilstand/gateway/application.py
@@ -15,6 +15,7 @@
 from trefoilstand.gateway import directory
 from trefoilstand.gateway import gauges
 from trefoilstand.gateway import leaving
+from trefoilstand.gateway import leaving_reader
 from trefoilstand.gateway import metrics_page
 from trefoilstand.gateway import models
 from trefoilstand.gateway import pause_detector
@@ -107,7 +108,9 @@
             decoder=decoder,
             connections=self.connections,
             target_registry=registry.TargetRegistry(
-                staleness=self.fleet.staleness, drain_s=settings.drain_s
+                leaving=self.fleet.leaving,
+                staleness=self.fleet.staleness,
+                drain_s=settings.drain_s,
             ),
             retry_limits=settings.retry_limits,
             random_source=random_source,
@@ -139,6 +142,11 @@
             connections=self.connections,
             protocol=protocol,
             limits=limits.reader,
+            leaving=leaving_reader.LeavingReader(
+                protocol=protocol,
+                marks=self.fleet.leaving,
+                clock=self._clock,
+            ),
             clock=self._clock,
         )
         self._probe_budget = probe_budget.ProbeBudget(
--- a/trefoilstand/gateway/assembly.py
+++ b/trefoilstand/gateway/assembly.py
@@ -8,6 +8,7 @@
 from trefoilstand.gateway import candidates
 from trefoilstand.gateway import forwarding
 from trefoilstand.gateway import hedger
+from trefoilstand.gateway import leaving_reader
 from trefoilstand.gateway import limit_reader
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import prediction
@@ -114,6 +115,7 @@
         clock=clock,
         random_source=random_source,
     )
+    gateway_state.absence_listeners.append(scheduler.handle_absence)
     sender = sending.Sender(
         table=gateway_state.targets,
         scheduler=scheduler,
@@ -121,6 +123,11 @@
         protocol=protocol,
         predictor=predictor,
         limits=limits.reader,
+        leaving=leaving_reader.LeavingReader(
+            protocol=protocol,
+            marks=gateway_state.registry.leaving,
+            clock=clock,
+        ),
         quota=limits.quota,
         counts=counts,
         clock=clock,
--- a/trefoilstand/gateway/pool.py
+++ b/trefoilstand/gateway/pool.py
@@ -168,7 +168,7 @@
             raise ForeignLinkError(
                 f"cannot pool a connection of type {type(connection).__name__}"
             )
-        if not connection.is_reusable:
+        if not connection.is_reusable or target.is_removed:
             connection.close()
             return
         idle = self._idle.setdefault(target.target_id, [])
--- a/trefoilstand/gateway/probing.py
+++ b/trefoilstand/gateway/probing.py
@@ -6,6 +6,7 @@
 import typing
 
 from trefoilstand.gateway import const
+from trefoilstand.gateway import leaving_reader
 from trefoilstand.gateway import limit_reader
 from trefoilstand.gateway import pool
 from trefoilstand.gateway import target_protocol
@@ -52,6 +53,7 @@
     :param connections: connections to targets.
     :param protocol: header names and formats of the targets.
     :param limits: updated with the limits that responses state.
+    :param leaving: reads from responses that their target leaves.
     :param clock: source of the time.
     """
 
@@ -61,12 +63,14 @@
         connections: pool.ConnectionPool,
         protocol: target_protocol.TargetProtocol,
         limits: limit_reader.LimitReader,
+        leaving: leaving_reader.LeavingReader,
         clock: clocks.Clock,
     ) -> None:
         self._clock = clock
         self._connections = connections
         self._protocol = protocol
         self._limits = limits
+        self._leaving = leaving
         self.health_paths: dict[str, str] = {}
         self.sent = 0
         self.failed = 0
@@ -84,7 +88,9 @@
                 connection = await self._connections.acquire(target)
                 response = await connection.send(
                     self._encode_health_check(target),
-                    matches=self._is_health_response,
+                    matches=self._leaving.watch(
+                        target, self._is_health_response, is_health_check=True
+                    ),
                     max_body_bytes=_MAX_HEALTH_BODY_BYTES,
                 )
         except errors.ConnectionQuotaError:
@@ -117,6 +123,9 @@
             self.failed += 1
             target.record_failure(now_s)
             return None
+        if target.is_removed:
+            connection.close()
+            return None
         self._limits.read_response(target, response, now_s, is_request=False)
         warmup_s = self._protocol.read_warmup_s(response)
         if warmup_s is not None:
--- a/trefoilstand/gateway/registry.py
+++ b/trefoilstand/gateway/registry.py
@@ -12,6 +12,7 @@
 import enum
 import math
 
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import staleness_tracker
 from trefoilstand.gateway import const
 from trefoilstand.gateway import models
@@ -40,8 +41,9 @@
 
 
 class TargetRegistry:
-    """Hold the registered targets and those known to be leaving.
+    """Hold the registered targets, and leave out those that leave.
 
+    :param leaving: targets that are known to leave, from any source.
     :param staleness: tells how old the known entries may be and when the
         store was unavailable.
     :param drain_s: seconds from the removal of an entry by the store after
@@ -51,32 +53,28 @@
     def __init__(
         self,
         *,
+        leaving: leaving_targets.LeavingTargets,
         staleness: staleness_tracker.StalenessTracker,
         drain_s: float,
     ) -> None:
+        self.leaving = leaving
         self._staleness = staleness
         self._drain_s = drain_s
         self._records: dict[str, models.TargetRecord] = {}
-        self._leaving: dict[str, int] = {}
         self._expired: dict[str, _ExpiredEntry] = {}
 
-    def set(self, record: models.TargetRecord) -> None:
+    def set(self, record: models.TargetRecord, now_s: float) -> None:
         """Add or update the entry of a target.
 
-        A target that was leaving is used again only as another incarnation.
-        Its number may be lower, since it is a time of day and clocks may
-        step back; entries themselves never revert to older ones.
+        :param record: the entry.
+        :param now_s: monotonic time.
         """
         self._expired.pop(record.target_id, None)
-        leaving_incarnation = self._leaving.get(record.target_id)
-        if record.state is models.TargetState.DRAINING:
-            self._leaving[record.target_id] = record.incarnation
-        elif (
-            leaving_incarnation is not None
-            and record.incarnation != leaving_incarnation
-        ):
-            del self._leaving[record.target_id]
         self._records[record.target_id] = record
+        if record.state is models.TargetState.DRAINING:
+            self._mark(record, leaving_targets.Source.STORE, now_s)
+        else:
+            self.leaving.withdraw_removal(record.target_id, record.incarnation)
 
     def remove(self, target_ids: list[str], now_s: float) -> None:
         """Remove entries that disappeared in one batch.
@@ -86,14 +84,14 @@
         """
         present_counts = collections.Counter(
             record.service
-            for target_id, record in self._records.items()
-            if target_id not in self._leaving
+            for record in self._records.values()
+            if not self.is_leaving(record)
         )
         removed = [
             record
             for target_id in target_ids
             if (record := self._records.pop(target_id, None)) is not None
-            and target_id not in self._leaving
+            and not self.is_leaving(record)
         ]
         removed_counts = collections.Counter(
             record.service for record in removed
@@ -108,14 +106,19 @@
                 is_mass_removal=removed_share >= const.MASS_REMOVAL_SHARE,
             )
 
-    def discard(self, target_ids: list[str]) -> None:
+    def discard(self, target_ids: list[str], now_s: float) -> None:
         """Drop targets whose entries are not expected to return.
 
         :param target_ids: identities of the targets.
+        :param now_s: monotonic time.
         """
         for target_id in target_ids:
-            self._records.pop(target_id, None)
-            self._expired.pop(target_id, None)
+            record = self._records.pop(target_id, None)
+            expired = self._expired.pop(target_id, None)
+            if record is None and expired is not None:
+                record = expired.record
+            if record is not None:
+                self._mark(record, leaving_targets.Source.REMOVAL, now_s)
 
     def _retain(
         self,
@@ -124,7 +127,7 @@
         *,
         is_mass_removal: bool,
     ) -> None:
-        """Keep a removed target eligible if its entry may have expired."""
+        """Mark a removed target, unless its entry may have expired."""
         cause = RetentionCause.OUTAGE
         until_s = self._outage_grace_end_s(now_s)
         if now_s >= until_s and is_mass_removal:
@@ -136,6 +139,7 @@
                 - const.DRAIN_MARGIN_S
             )
         if now_s >= until_s:
+            self._mark(record, leaving_targets.Source.REMOVAL, now_s)
             return
         self._expired[record.target_id] = _ExpiredEntry(
             record=record, cause=cause, until_s=until_s
@@ -160,13 +164,15 @@
         :param now_s: monotonic time.
         :returns: whether any entry was dropped.
         """
+        self.leaving.expire(now_s, self._is_registered)
         dropped_ids = [
             target_id
             for target_id, entry in self._expired.items()
             if now_s >= self._retained_until_s(entry, now_s)
         ]
         for target_id in dropped_ids:
-            del self._expired[target_id]
+            record = self._expired.pop(target_id).record
+            self._mark(record, leaving_targets.Source.REMOVAL, now_s)
         return bool(dropped_ids)
 
     def _retained_until_s(self, entry: _ExpiredEntry, now_s: float) -> float:
@@ -177,9 +183,46 @@
             return math.inf
         return max(entry.until_s, self._outage_grace_end_s(now_s))
 
-    def is_leaving(self, target_id: str) -> bool:
-        """Return whether a target has announced that it leaves."""
-        return target_id in self._leaving
+    def _is_registered(self, target_id: str, incarnation: int) -> bool:
+        """Return whether an entry shows this process of a target."""
+        record = self._records.get(target_id)
+        expired = self._expired.get(target_id)
+        if record is None and expired is not None:
+            record = expired.record
+        return record is not None and record.incarnation == incarnation
+
+    def _mark(
+        self,
+        record: models.TargetRecord,
+        source: leaving_targets.Source,
+        now_s: float,
+    ) -> None:
+        self.leaving.add(
+            leaving_targets.LeavingMark(
+                target_id=record.target_id,
+                incarnation=record.incarnation,
+                source=source,
+                marked_s=now_s,
+            ),
+            now_s,
+        )
+
+    def is_leaving(self, record: models.TargetRecord) -> bool:
+        """Return whether the registered process of a target leaves."""
+        return self._find_mark(record) is not None
+
+    def is_draining(self, record: models.TargetRecord) -> bool:
+        """Return whether a target has itself said that it leaves."""
+        mark = self._find_mark(record)
+        return (
+            mark is not None
+            and mark.source is not leaving_targets.Source.REMOVAL
+        )
+
+    def _find_mark(
+        self, record: models.TargetRecord
+    ) -> leaving_targets.LeavingMark | None:
+        return self.leaving.find(record.target_id, record.incarnation)
 
     def eligible_targets(self) -> dict[str, models.TargetRecord]:
         """Return the targets that may get new requests, by identity."""
@@ -191,5 +234,5 @@
         return {
             target_id: record
             for target_id, record in records.items()
-            if target_id not in self._leaving
+            if not self.is_leaving(record)
         }
--- a/trefoilstand/gateway/replication.py
+++ b/trefoilstand/gateway/replication.py
@@ -8,6 +8,7 @@
 from trefoilstand.fleet import const as fleet_const
 from trefoilstand.fleet import coordinator
 from trefoilstand.fleet import exchange
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import lost_items
 from trefoilstand.fleet import messages
 from trefoilstand.fleet import rate_limits
@@ -67,6 +68,10 @@
         self.rate_limits = rate_limits.RateLimitTable(
             random_source=random_source
         )
+        self.leaving = leaving_targets.LeavingTargets(
+            random_source=random_source
+        )
+        self.leaving.add_listener(self._announce_leaving)
         self.staleness = staleness_tracker.StalenessTracker(
             random_source=random_source,
             entry_heartbeat_s=settings.entry_heartbeat_s,
@@ -114,6 +119,17 @@
         """Tell other hosts soon that a target states a limit."""
         self.peers.announce_target_news(topology.Origin.STORE)
 
+    def _announce_leaving(self, mark: leaving_targets.LeavingMark) -> None:
+        """Tell other hosts soon what a target said to this one.
+
+        They read the store as well, and reports of peers are passed on
+        where they are received.
+        """
+        if not (
+            mark.is_from_store or mark.source is leaving_targets.Source.PEER
+        ):
+            self.peers.announce_target_news(topology.Origin.STORE)
+
     def record_pause(self, now_s: float, pause: pause_detector.Pause) -> None:
         """Distrust what was known before the process was paused.
 
@@ -121,6 +137,7 @@
         :param pause: pause that has just ended.
         """
         self.rate_limits.add_suspension(pause.suspension_s)
+        self.leaving.add_suspension(pause.suspension_s)
         self.staleness.invalidate()
         self.members.restart_ages(now_s)
         events.warning(events.ProcessPaused(gap_s=round(pause.gap_s, 3)))
@@ -133,6 +150,7 @@
             state=self.replica,
             staleness=self.staleness,
             limits=self.rate_limits,
+            leaving=self.leaving,
             random_source=self._random,
         )
 
--- a/trefoilstand/gateway/request_queue.py
+++ b/trefoilstand/gateway/request_queue.py
@@ -23,18 +23,20 @@
 
     :param request: describes the request and its deadlines.
     :param queued_s: monotonic time at which it was queued.
-    :param future: completed with the placement that is offered.
+    :param future: completed with the placement that is offered, or with why
+        there will be none.
     """
 
     request: placements.SelectionRequest
     queued_s: float
-    future: asyncio.Future[placements.Placement]
+    future: asyncio.Future[placements.Placement | models.Refusal]
 
     def offered_placement(self) -> placements.Placement | None:
         """Return the offered placement, None if there was no offer yet."""
         if not self.future.done() or self.future.cancelled():
             return None
-        return self.future.result()
+        result = self.future.result()
+        return result if isinstance(result, placements.Placement) else None
 
     def is_late(self, now_s: float) -> bool:
         """Return whether the objective has passed."""
@@ -161,6 +163,15 @@
             self._mean_interval_s.add(now_s - self._last_served_s)
         self._last_served_s = now_s
 
+    def refuse_all(self, refusal: models.Refusal) -> None:
+        """End the wait of all requests that have no offer.
+
+        :param refusal: why no target will be offered.
+        """
+        for queued in self._requests:
+            if not queued.future.done():
+                queued.future.set_result(refusal)
+
     def offer(
         self,
         target: targets.Target,
--- a/trefoilstand/gateway/scheduling.py
+++ b/trefoilstand/gateway/scheduling.py
@@ -133,6 +133,15 @@
             return
         self._connections.release(target, placement.connection)
 
+    def handle_absence(self, service: str) -> None:
+        """Refuse the queued requests of a service without any target.
+
+        :param service: service that has lost its last target.
+        """
+        queue = self._queues.get(service)
+        if queue is not None:
+            queue.refuse_all(models.Refusal.NO_TARGET)
+
     async def _wait_for_capacity(
         self,
         request: placements.SelectionRequest,
@@ -150,17 +159,19 @@
         if not self._may_be_sent_in_time(request, queue, now_s):
             return models.Refusal.RATE_LIMITED
         queued = queue.enqueue(request, now_s)
-        placement: placements.Placement | None = None
+        result: placements.Placement | models.Refusal | None = None
         try:
-            placement = await self._await_target(queued, queue)
+            result = await self._await_target(queued, queue)
         finally:
             queue.remove(
-                queued, self._clock.now_s(), is_served=placement is not None
+                queued,
+                self._clock.now_s(),
+                is_served=isinstance(result, placements.Placement),
             )
             offered = queued.offered_placement()
-            if offered is not None and offered is not placement:
+            if offered is not None and offered is not result:
                 self.release(request.service, offered)
-        return placement or models.Refusal.OVERLOADED
+        return result
 
     def _may_be_sent_in_time(
         self,
@@ -190,14 +201,14 @@
         self,
         queued: request_queue.QueuedRequest,
         queue: request_queue.RequestQueue,
-    ) -> placements.Placement | None:
+    ) -> placements.Placement | models.Refusal:
         """Wait for an offer and search for capacity from time to time."""
         request = dataclasses.replace(queued.request, is_repeated=True)
         while True:
             now_s = self._clock.now_s()
             processing_s = self._predictor.processing_time_s(request.route)
             if now_s + processing_s > request.latest_s:
-                return None
+                return models.Refusal.OVERLOADED
             pause_s = const.QUEUED_SEARCH_INTERVAL_S * (
                 0.75 + 0.5 * self._random.random()
             )
@@ -205,7 +216,7 @@
                 if queue.has_timely_requests(queued, now_s):
                     # Capacity is short even for those, so the caller is told
                     # while it still has time for another host.
-                    return None
+                    return models.Refusal.OVERLOADED
                 pause_s *= const.LATE_SEARCH_FACTOR
             done, _ = await asyncio.wait({queued.future}, timeout=pause_s)
             if done:
@@ -225,5 +236,4 @@
             if isinstance(selected, placements.Placement):
                 return selected
             if selected in _FINAL_REFUSALS:
-                return None
-        return None
+                return selected
--- a/trefoilstand/gateway/sending.py
+++ b/trefoilstand/gateway/sending.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from trefoilstand.gateway import calls
+from trefoilstand.gateway import leaving_reader
 from trefoilstand.gateway import limit_reader
 from trefoilstand.gateway import metrics_page
 from trefoilstand.gateway import models
@@ -31,6 +32,7 @@
     :param protocol: header fields shared with callers and targets.
     :param predictor: updated with the durations of requests.
     :param limits: updated with the limits that responses state.
+    :param leaving: reads from responses that their target leaves.
     :param quota: tells when targets with a limit may be sent to.
     :param counts: metrics of attempts by outcome.
     :param clock: monotonic clock.
@@ -45,6 +47,7 @@
         protocol: target_protocol.TargetProtocol,
         predictor: prediction.Predictor,
         limits: limit_reader.LimitReader,
+        leaving: leaving_reader.LeavingReader,
         quota: target_quota.TargetQuota,
         counts: metric_store.MetricStore,
         clock: clocks.Clock,
@@ -55,6 +58,7 @@
         self._protocol = protocol
         self._predictor = predictor
         self._limits = limits
+        self._leaving = leaving
         self._quota = quota
         self._counts = counts
         self._clock = clock
@@ -114,7 +118,11 @@
                 self._encode_request(
                     call.request, target.target_id, remaining_ms
                 ),
-                matches=self._make_matcher(call.request),
+                matches=self._leaving.watch(
+                    target,
+                    self._make_matcher(call.request),
+                    is_health_check=False,
+                ),
                 is_head=call.request.method == b"HEAD",
                 body=wire.uncopied_body(call.request.body),
             )
--- a/trefoilstand/gateway/state.py
+++ b/trefoilstand/gateway/state.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import models as fleet_models
 from trefoilstand.gateway import evacuations
 from trefoilstand.gateway import models
@@ -99,6 +100,9 @@
         self.configuration_listeners: list[
             typing.Callable[[models.GatewayConfiguration], None]
         ] = []
+        #: Called with each service that has lost its last target.
+        self.absence_listeners: list[typing.Callable[[str], None]] = []
+        self.registry.leaving.add_listener(self._remove_leaving)
 
     @property
     def version(self) -> int:
@@ -139,10 +143,10 @@
             elif record is None:
                 removed_ids.append(target_id)
             else:
-                self.registry.set(record)
+                self.registry.set(record, now_s)
         if has_targets:
             self.registry.remove(removed_ids, now_s)
-            self.registry.discard(gone_ids)
+            self.registry.discard(gone_ids, now_s)
             self._apply_targets(now_s)
         if restored_domains:
             self._assume_cold(restored_domains, now_s)
@@ -180,16 +184,41 @@
         }
         removed_targets = self.targets.replace(records, now_s)
         for target in removed_targets:
-            if self._connections is not None:
-                self._connections.close_idle_connections(target)
-            events.info(
-                events.TargetRemoved(
-                    target=target.target_id,
-                    service=target.record.service,
-                    is_draining=self.registry.is_leaving(target.target_id),
-                    in_flight=len(target.in_flight),
-                )
+            self._handle_removal(target)
+        for service in {item.record.service for item in removed_targets}:
+            self._check_absence(service)
+
+    def _remove_leaving(self, mark: leaving_targets.LeavingMark) -> None:
+        """Stop using a target that other sources than the store name.
+
+        Changes of the store are applied to all targets at once.
+        """
+        if mark.is_from_store:
+            return
+        target = self.targets.get(mark.target_id)
+        if target is None or target.record.incarnation != mark.incarnation:
+            return
+        self.targets.remove(target)
+        self._handle_removal(target)
+        self._check_absence(target.record.service)
+
+    def _handle_removal(self, target: targets.Target) -> None:
+        if self._connections is not None:
+            self._connections.close_idle_connections(target)
+        events.info(
+            events.TargetRemoved(
+                target=target.target_id,
+                service=target.record.service,
+                is_draining=self.registry.is_draining(target.record),
+                in_flight=len(target.in_flight),
             )
+        )
+
+    def _check_absence(self, service: str) -> None:
+        """Tell that a service has no target left."""
+        if not self.targets.of_service(service):
+            for listener in self.absence_listeners:
+                listener(service)
 
     def _apply_configuration(self, item: fleet_models.Item) -> None:
         if item.value is None:
--- a/trefoilstand/gateway/target_protocol.py
+++ b/trefoilstand/gateway/target_protocol.py
@@ -57,6 +57,13 @@
         :param response: response to a request.
         """
 
+    @abc.abstractmethod
+    def is_leaving(self, response: http_models.Response) -> bool:
+        """Return whether a response says that its target leaves.
+
+        :param response: response to a request or a health check.
+        """
+
     @abc.abstractmethod
     def read_load(
         self, response: http_models.Response, now_s: float
--- a/trefoilstand/gateway/targets.py
+++ b/trefoilstand/gateway/targets.py
@@ -21,6 +21,7 @@
         "error_s",
         "failures",
         "in_flight",
+        "is_removed",
         "last_message_s",
         "last_request_s",
         "record",
@@ -32,6 +33,8 @@
 
     def __init__(self, *, record: models.TargetRecord, now_s: float) -> None:
         self.record = record
+        #: Whether it gets no new requests any more.
+        self.is_removed = False
         #: Monotonic time up to which it is cold.
         self.warming_until_s = now_s + record.warmup_left_s
         self.report: models.LoadReport | None = None
@@ -165,6 +168,8 @@
             for target_id, target in self._targets.items()
             if targets.get(target_id) is not target
         ]
+        for target in removed:
+            target.is_removed = True
         self._targets = targets
         self._by_service = {}
         for target in targets.values():
@@ -173,6 +178,18 @@
             )
         return removed
 
+    def remove(self, target: Target) -> None:
+        """Remove one target that may get no new requests.
+
+        :param target: target in this table.
+        """
+        target.is_removed = True
+        del self._targets[target.target_id]
+        service = target.record.service
+        self._by_service[service] = [
+            item for item in self._by_service[service] if item is not target
+        ]
+
     def start_attempt(self, target: Target, now_s: float) -> int:
         """Count a request in flight at a target.
 
--- a/trefoilstand/platform/target_protocol.py
+++ b/trefoilstand/platform/target_protocol.py
@@ -11,6 +11,8 @@
 _STAMP_FIELD: typing.Final = b"server-stamp"
 #: Present if the target did not execute the request.
 _NOT_EXECUTED_FIELD: typing.Final = b"not-executed"
+#: Present, with the value 1, if the target leaves.
+_LEAVING_FIELD: typing.Final = b"server-leaving"
 _LOAD_FIELD: typing.Final = b"server-load"
 #: Requests a second that the target accepts from all hosts together.
 _LIMIT_FIELD: typing.Final = b"server-limit"
@@ -49,6 +51,10 @@
         """Return whether another target responded at the address."""
         return response.status == _MISDIRECTED_STATUS
 
+    def is_leaving(self, response: http_models.Response) -> bool:
+        """Return whether a response says that its target leaves."""
+        return response.find_field(_LEAVING_FIELD) == b"1"
+
     def read_load(
         self, response: http_models.Response, now_s: float
     ) -> models.LoadReport | None:
--- a/trefoilstand/telemetry/events.py
+++ b/trefoilstand/telemetry/events.py
@@ -296,6 +296,16 @@
     source: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TargetLeaveNoticed(Event):
+    """Record which source first told that a process of a target leaves."""
+
+    target: str
+    incarnation: int
+    source: str
+    age_s: float
+
+
 _names: dict[type[Event], str] = {}
 _pending: collections.deque[tuple[int, Event, float]] = collections.deque()
 _logger: standard_logging.Logger | None = None
