Keep reports of many leaving targets within the budget of control

What was seen: with 60 targets that leave at the same time, a relay of a fleet of 311 hosts sent 46,774 bytes in a second; control may take 25,000. Cause: a relay answers some 170 heartbeats a second, and each answer named 8 targets, whatever the size of the fleet.

--- a/features/state/spread.feature
+++ b/features/state/spread.feature
@@ -113,6 +113,36 @@
       | 311   | 5       | 1       | 60   | 4     |
       | 311   | 5       | 10      | 60   | 4     |
 
+  # Each of them is heard by one host alone, and serves for `drain` on, which
+  # is longer on large sites.
+  Scenario Outline: All hosts learn of targets that leave
+    Given a fleet of <hosts> hosts in <domains> domains
+    When they have run for 16 s
+    And <targets> targets say within 1 s to a host that they leave
+    Then each host knows that each of them leaves <drain> s after it was said
+
+    Examples:
+      | hosts | domains | targets | drain |
+      | 13    | 3       | 1       | 2     |
+      | 13    | 3       | 4       | 2     |
+      | 94    | 3       | 4       | 2.5   |
+      | 311   | 5       | 1       | 3     |
+      | 311   | 5       | 4       | 3     |
+
+  # A failure domain that is emptied must not flood the relays.
+  # Control may cost a host 25,000 bytes a second.
+  Scenario Outline: Targets that leave are reported within the budget of control
+    Given a fleet of <hosts> hosts in <domains> domains
+    When they have run for 16 s
+    And <targets> targets say within 1 s to a host that they leave
+    Then no host sends more than 25000 bytes in any second of the next 8 s
+
+    Examples:
+      | hosts | domains | targets |
+      | 13    | 3       | 13      |
+      | 94    | 3       | 20      |
+      | 311   | 5       | 60      |
+
   # A new process sent to targets whose limits all others knew.
   Scenario Outline: A new process learns of limits at once
     Given a fleet of <hosts> hosts in <domains> domains
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -7,6 +7,7 @@
 
 from features.support import heartbeat_fleet
 from trefoilstand.experiments import virtual_time
+from trefoilstand.fleet import leaving_targets
 from trefoilstand.fleet import rate_limits
 from trefoilstand.fleet import topology
 from trefoilstand.peers import models as peers_models
@@ -198,6 +199,8 @@
 
 
 _LIMITS_RUN_S = 8.0
+_LEAVING_RUN_S = 8.0
+_INCARNATION = 1_786_000_000_000
 
 
 @when("{targets:d} targets state limits and respond {rate:d} times a second")
@@ -225,7 +228,7 @@
     """Let a host get a response in which a target states a limit."""
     observation = rate_limits.LimitObservation(
         target_id=target_id,
-        incarnation=1_786_000_000_000,
+        incarnation=_INCARNATION,
         requests_per_s=3.6,
         observed_s=host.net.clock.now_s(),
     )
@@ -235,6 +238,57 @@
         host.peers.announce_target_news(topology.Origin.STORE)
 
 
+@when("{targets:d} targets say within 1 s to a host that they leave")
+def say_leaving(context, targets):
+    context.leaving_count = targets
+
+    async def action(net):
+        net.reset_counts()
+        random_source = random.Random(4)
+        #: Times from the response of a target until all hosts know of it.
+        net.leaving_known_s = {}
+        started_s = net.clock.now_s()
+        said_s = {}
+        while (elapsed_s := net.clock.now_s() - started_s) < _LEAVING_RUN_S:
+            if len(said_s) < targets and elapsed_s >= len(said_s) / targets:
+                name = f"i-{len(said_s):010x}"
+                said_s[name] = net.clock.now_s()
+                _say_leaving(random_source.choice(net.up), name)
+            for name, time_s in said_s.items():
+                if name not in net.leaving_known_s and all(
+                    host.leaving.find(name, _INCARNATION) for host in net.up
+                ):
+                    net.leaving_known_s[name] = net.clock.now_s() - time_s
+            await asyncio.sleep(0.01)
+        assert len(said_s) == targets
+
+    context.actions.append(action)
+
+
+def _say_leaving(host, target_id):
+    """Let a host get a response in which a target says that it leaves."""
+    now_s = host.net.clock.now_s()
+    host.leaving.add(
+        leaving_targets.LeavingMark(
+            target_id=target_id,
+            incarnation=_INCARNATION,
+            source=leaving_targets.Source.RESPONSE,
+            marked_s=now_s,
+        ),
+        now_s,
+    )
+    host.peers.announce_target_news(topology.Origin.STORE)
+
+
+@then(
+    "each host knows that each of them leaves {bound_s:g} s after it was said"
+)
+def check_leaving_known(context, bound_s):
+    known_s = ensure_run(context).leaving_known_s
+    assert len(known_s) == context.leaving_count, known_s
+    assert max(known_s.values()) <= bound_s, known_s
+
+
 @then("no host sends more than {limit:d} bytes in any second of the next 8 s")
 def check_sent_bytes(context, limit):
     net = ensure_run(context)
--- a/trefoilstand/fleet/const.py
+++ b/trefoilstand/fleet/const.py
@@ -40,8 +40,12 @@
 #: announcement, which a relay sends to each host of its domain.
 MAX_TARGET_LIMITS: typing.Final = 8
 MAX_ANNOUNCED_LIMITS: typing.Final = 64
-#: Targets that leave in one heartbeat.
+#: Targets that leave in one heartbeat: at most, at least, and divided by the
+#: number of live hosts.  A relay sends several heartbeats a second to each
+#: host of its domain.
 MAX_LEAVING_TARGETS: typing.Final = 8
+MIN_LEAVING_TARGETS: typing.Final = 2
+LEAVING_TARGETS_TIMES_HOSTS: typing.Final = 600
 #: Minimum interval between two announcements of news of targets.  Many targets
 #: may state limits at the same time, and relays hear of each from many hosts.
 MIN_TARGET_NEWS_INTERVAL_S: typing.Final = 0.5
--- a/trefoilstand/fleet/heartbeat.py
+++ b/trefoilstand/fleet/heartbeat.py
@@ -194,8 +194,14 @@
     def _encode_leaving(
         self, now_s: float, *, is_new_receiver: bool
     ) -> list[peer_pb2.LeavingTarget]:
+        max_count = (
+            const.LEAVING_TARGETS_TIMES_HOSTS // self._members.live_count
+        )
+        max_count = max(max_count, const.MIN_LEAVING_TARGETS)
         marks = self._leaving.choose_reports(
-            const.MAX_LEAVING_TARGETS, now_s, is_new_receiver=is_new_receiver
+            min(max_count, const.MAX_LEAVING_TARGETS),
+            now_s,
+            is_new_receiver=is_new_receiver,
         )
         encoded = [codec.encode_leaving(mark, now_s) for mark in marks]
         return [message for message in encoded if message is not None]
