Bound how many leaving targets a heartbeat looks at

Now reports end after 60 s where marks are expired, and the newest 256 are kept. Hosts learn of others from the responses to their own requests.

gateway/leaving_marks: "Many targets that leave at once do not pile up reports" failed before (1,000, bound 256).

--- a/features/steps/leaving_marks_steps.py
+++ b/features/steps/leaving_marks_steps.py
@@ -160,6 +160,20 @@
         context.host.run(length / count)
 
 
+@when("{count:d} targets say to the first that they leave")
+def hear_many(context, count):
+    for number in range(count):
+        _mark(context.host, leaving_targets.Source.RESPONSE, f"t{number + 10}")
+
+
+@then("it looks at no more than {count:d} of them for a heartbeat")
+def check_report_count(context, count):
+    reports = context.host.state.registry.leaving.choose_reports(
+        10_000, context.clock.now_s()
+    )
+    assert len(reports) <= count, len(reports)
+
+
 @then("the host uses {targets}")
 def check_targets(context, targets):
     assert context.host.describe() == targets, context.host.describe()
--- a/trefoilstand/fleet/leaving_targets.py
+++ b/trefoilstand/fleet/leaving_targets.py
@@ -22,6 +22,9 @@
 _MARK_LIFETIME_S: typing.Final = 600.0
 #: Other hosts are told of a mark for this long.
 _REPORT_LIFETIME_S: typing.Final = 60.0
+#: Most marks that other hosts are told of, as each message looks at all; the
+#: newest ones go first.
+_MAX_REPORTABLE: typing.Final = 256
 #: Most marks that are kept; the oldest ones are dropped first.
 _MAX_MARKS: typing.Final = 65_536
 
@@ -107,8 +110,7 @@
         if len(self._marks) > _MAX_MARKS:
             self._drop(next(iter(self._marks)))
         if not mark.is_from_store:
-            self._reportable[_report_key(key)] = mark
-            self._schedule.record_news(_report_key(key), now_s)
+            self._start_reporting(mark, now_s)
         if known is None:
             events.info(
                 events.TargetLeaveNoticed(
@@ -152,13 +154,11 @@
         :param is_new_receiver: whether the receiver has just started and
             knows no marks.
         """
-        recent = [
-            key
-            for key, mark in self._reportable.items()
-            if now_s - mark.marked_s <= _REPORT_LIFETIME_S
-        ]
         chosen = self._schedule.choose(
-            recent, max_count, now_s, is_new_receiver=is_new_receiver
+            self._reportable,
+            max_count,
+            now_s,
+            is_new_receiver=is_new_receiver,
         )
         return [self._reportable[key] for key in chosen]
 
@@ -167,12 +167,17 @@
         now_s: float,
         is_registered: collections.abc.Callable[[str, int], bool],
     ) -> None:
-        """Drop old marks of processes that are not registered.
+        """End old reports, and drop old marks without a registered process.
 
         :param now_s: monotonic time.
         :param is_registered: returns whether an entry shows a process, by its
             target's id and its incarnation.
         """
+        while self._reportable:
+            oldest = next(iter(self._reportable.values()))
+            if now_s - oldest.marked_s <= _REPORT_LIFETIME_S:
+                break
+            self._stop_reporting((oldest.target_id, oldest.incarnation))
         expired: list[tuple[str, int]] = []
         for key, mark in self._marks.items():
             if now_s - mark.marked_s <= _MARK_LIFETIME_S:
@@ -194,6 +199,14 @@
         del self._marks[key]
         self._stop_reporting(key)
 
+    def _start_reporting(self, mark: LeavingMark, now_s: float) -> None:
+        report_key = _report_key((mark.target_id, mark.incarnation))
+        self._reportable[report_key] = mark
+        self._schedule.record_news(report_key, now_s)
+        if len(self._reportable) > _MAX_REPORTABLE:
+            oldest = next(iter(self._reportable.values()))
+            self._stop_reporting((oldest.target_id, oldest.incarnation))
+
     def _stop_reporting(self, key: tuple[str, int]) -> None:
         self._reportable.pop(_report_key(key), None)
         self._schedule.forget(_report_key(key))
