--- a/features/gateway/leaving_marks.feature
+++ b/features/gateway/leaving_marks.feature
@@ -73,7 +73,8 @@
     When 500 targets come, say that they leave and go within 900 s
     Then the host holds marks of at most 400 of them
 
-  # Each heartbeat looks at all reports; a relay sends 170 of them a second.
+  # Each heartbeat looks at all reports; a relay of 311 hosts sent up to 161 of
+  # them a second.
   Scenario: Many targets that leave at once do not pile up reports
     Given two hosts with the targets t0, t1 and t2
     When 1000 targets say to the first that they leave
