--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -497,6 +498,79 @@
         return 0.0
 
 
+class Usage:
+    """Memory of a host, as the pages count it.
+
+    DEPLOY.md: "Bytes that have been received and not yet read count toward
+    this limit."  Connections that the process has not accepted are left out.
+    """
+
+    def __init__(self, host):
+        self._host = host
+        self.limit_mb = host.settings["limits"]["memory-mb"]
+        self.most_mb = 0.0
+        self.samples = 0
+        self.samples_over = 0
+
+    def sample(self, record):
+        """Take a sample, and record it if it is the highest so far."""
+        resident_mb = self._host.memory_mb()
+        unread_mb = self._unread_bytes() / 2**20
+        used_mb = resident_mb + unread_mb
+        self.samples += 1
+        self.samples_over += used_mb > self.limit_mb
+        if used_mb > self.most_mb:
+            self.most_mb = used_mb
+            record.write(
+                f"{self._host.name} uses {used_mb:.0f} MB: {resident_mb:.0f}"
+                f" resident, {unread_mb:.0f} received and not read"
+            )
+
+    async def run(self, record, duration_s):
+        """Take samples for some time, or until the process ends."""
+        end_s = time.monotonic() + duration_s
+        while time.monotonic() < end_s and self._host.is_running:
+            self.sample(record)
+            await asyncio.sleep(0.1)
+
+    def broken(self):
+        """Return what broke the limit."""
+        if not self._host.is_running:
+            return [f"{self._host.name} has ended by itself"]
+        if not self.samples_over:
+            return []
+        return [
+            f"Fault: {self._host.name} used {self.most_mb:.0f} MB of"
+            f" {self.limit_mb} MB, and was over its limit in"
+            f" {self.samples_over} of {self.samples} samples"
+        ]
+
+    def _unread_bytes(self):
+        address = "".join(
+            f"{int(part):02X}" for part in reversed(self._host.ip.split("."))
+        )
+        unread_bytes = 0
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            is_listening = fields[3] == "0A"
+            is_accepted = fields[9] != "0"
+            if (
+                fields[1].startswith(address)
+                and is_accepted
+                and not is_listening
+            ):
+                unread_bytes += int(fields[4].partition(":")[2], 16)
+        return unread_bytes
+
+
+def allow_connections(count):
+    """Make sure that this process may open many connections."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = count + 200
+    if soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def make_route(
     prefix,
     service,
